--- /dev/null
+++ b/cmake/slices.cmake
@@ -0,0 +1,2 @@
+cardamomstep_library(base)
+cardamomstep_test(base)
--- /dev/null
+++ b/src/base/fwd.h
@@ -0,0 +1,23 @@
+// Forward declarations of the base slice: identifiers, units, log marks and errors.
+#pragma once
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+template<typename Tag>
+class StrongId;
+
+struct Term;
+struct Mark;
+struct Error;
+struct SourcePosition;
+enum class ErrorKind : std::uint8_t;
+enum class Ran : std::uint8_t;
+
+template<typename T>
+class Result;
+
+class Random;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/base/result.h
@@ -0,0 +1,76 @@
+// A value or an error: how functions report failure without exceptions.
+#pragma once
+
+#include "base/error.h"
+
+#include <utility>
+#include <variant>
+
+namespace cardamomstep {
+
+/// Holds either a \a T or an Error.
+///
+/// Example:
+/// \code
+/// const auto term = parseTerm("7.1f");
+/// if (!term) {
+///     return term.error();
+/// }
+/// use(*term);
+/// \endcode
+template<typename T>
+class [[nodiscard]] Result
+{
+public:
+    Result(T value) // NOLINT(google-explicit-constructor): a value is a result
+        : state_(std::in_place_index<0>, std::move(value))
+    {
+    }
+
+    Result(Error error) // NOLINT(google-explicit-constructor): an error is a result
+        : state_(std::in_place_index<1>, std::move(error))
+    {
+    }
+
+    /// True when a value is held.
+    [[nodiscard]] explicit operator bool() const noexcept
+    {
+        return state_.index() == 0;
+    }
+
+    /// The value; only when one is held.
+    [[nodiscard]] const T &operator*() const &noexcept
+    {
+        return *std::get_if<0>(&state_);
+    }
+    [[nodiscard]] T &operator*() &noexcept
+    {
+        return *std::get_if<0>(&state_);
+    }
+    [[nodiscard]] T &&operator*() &&noexcept
+    {
+        return std::move(*std::get_if<0>(&state_));
+    }
+    [[nodiscard]] const T *operator->() const noexcept
+    {
+        return std::get_if<0>(&state_);
+    }
+    [[nodiscard]] T *operator->() noexcept
+    {
+        return std::get_if<0>(&state_);
+    }
+
+    /// The error; only when no value is held.
+    [[nodiscard]] const Error &error() const noexcept
+    {
+        return *std::get_if<1>(&state_);
+    }
+
+private:
+    std::variant<T, Error> state_;
+};
+
+/// The value of an operation that returns nothing but its success.
+using Success = std::monostate;
+
+} // namespace cardamomstep
