--- a/src/base/mark.cpp
+++ b/src/base/mark.cpp
@@ -24,7 +24,7 @@
 
 Error malformed(std::string_view what, std::string_view text)
 {
-    return Error{ ErrorKind::MalformedRequest, std::string(what) + " is malformed: \"" + std::string(text.substr(0, 64)) + "\"" };
+    return Error{ErrorKind::MalformedRequest, std::string(what) + " is malformed: \"" + std::string(text.substr(0, 64)) + "\""};
 }
 
 } // namespace
@@ -52,7 +52,7 @@
     if (!number || !proposer) {
         return malformed("term", text);
     }
-    return Term{ *number, *proposer };
+    return Term{*number, *proposer};
 }
 
 Result<Mark> parseMark(std::string_view text)
@@ -66,7 +66,7 @@
     if (!term || !position) {
         return malformed("log mark", text);
     }
-    return Mark{ *term, *position };
+    return Mark{*term, *position};
 }
 
 std::ostream &operator<<(std::ostream &out, const Term &term)
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -25,14 +25,14 @@
 [[nodiscard]] inline TimePoint steadyNow() noexcept
 {
     const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint{ std::chrono::duration_cast<Microseconds>(since) };
+    return TimePoint{std::chrono::duration_cast<Microseconds>(since)};
 }
 
 /// \a span in whole milliseconds, rounded down, never below zero.
 [[nodiscard]] constexpr Milliseconds wholeMilliseconds(Microseconds span) noexcept
 {
     const auto rounded = std::chrono::duration_cast<Milliseconds>(span);
-    return rounded.count() < 0 ? Milliseconds{ 0 } : rounded;
+    return rounded.count() < 0 ? Milliseconds{0} : rounded;
 }
 
 } // namespace cardamomstep
--- /dev/null
+++ b/src/members/fwd.h
@@ -0,0 +1,15 @@
+// Forward declarations of the members slice.
+#pragma once
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+enum class MemberRole : std::uint8_t;
+enum class LinkFault : std::uint8_t;
+struct MemberReport;
+struct MemberCall;
+struct MemberReply;
+struct LinkFailure;
+
+} // namespace cardamomstep
--- a/tests/base/test_base.cpp
+++ b/tests/base/test_base.cpp
@@ -15,7 +15,7 @@
 Test(base, marksRoundTripAsText)
 {
     const bool holds = rc::check("marks round trip", [](std::uint64_t number, std::uint64_t proposer, std::uint64_t position) {
-        const Mark mark{ Term{ number, proposer }, position };
+        const Mark mark{Term{number, proposer}, position};
         const auto read = parseMark(toText(mark));
         RC_ASSERT(bool(read));
         RC_ASSERT(*read == mark);
@@ -25,7 +25,7 @@
 
 Test(base, malformedMarksAreRefused)
 {
-    for (const char *text : { "", "7", "7.x", "7.1f", "7.1f/", "7.1f/-1", "7.1f/99999999999999999999", "a.1/1", "7.1f/1 " }) {
+    for (const char *text : {"", "7", "7.x", "7.1f", "7.1f/", "7.1f/-1", "7.1f/99999999999999999999", "a.1/1", "7.1f/1 "}) {
         const auto read = parseMark(text);
         cr_assert(!read, "accepted %s", text);
         cr_assert(read.error().kind == ErrorKind::MalformedRequest);
@@ -34,8 +34,8 @@
 
 Test(base, higherTermOutranksHigherPosition)
 {
-    cr_assert((Mark{ Term{ 2, 0 }, 1 } > Mark{ Term{ 1, 9 }, 100 }));
-    cr_assert((Mark{ Term{ 1, 2 }, 1 } > Mark{ Term{ 1, 1 }, 100 }));
+    cr_assert((Mark{Term{2, 0}, 1} > Mark{Term{1, 9}, 100}));
+    cr_assert((Mark{Term{1, 2}, 1} > Mark{Term{1, 1}, 100}));
 }
 
 Test(base, everyErrorKindHasAnAnswer)
@@ -55,8 +55,8 @@
 
 Test(base, errorsNameTheirPosition)
 {
-    Error error{ ErrorKind::InvalidSettings, "expected a number" };
-    error.position = SourcePosition{ "proxy.json", 7, "limits.callers" };
+    Error error{ErrorKind::InvalidSettings, "expected a number"};
+    error.position = SourcePosition{"proxy.json", 7, "limits.callers"};
     std::ostringstream out;
     out << error;
     cr_assert(out.str() == "proxy.json:7: limits.callers: invalid-settings: expected a number");
@@ -64,8 +64,8 @@
 
 Test(base, generatorsWithOneSeedAgree)
 {
-    Random first{ 7 };
-    Random second{ 7 };
+    Random first{7};
+    Random second{7};
     for (int round = 0; round < 100; ++round) {
         cr_assert(first() == second());
     }
