--- /dev/null
+++ b/src/configuration/state.cpp
@@ -0,0 +1,270 @@
+// Applies changes to the known configuration and cuts deltas for peers.
+#include "configuration/state.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cardamomstep {
+
+namespace {
+
+/// Bytes of a change on its way, beside its texts.
+constexpr std::size_t changeOverheadBytes = 16;
+
+std::uint64_t hashOf(const ObjectKey &key, Revision version)
+{
+    const auto kind = stableHash(key.kind.text());
+    const auto name = stableHash(key.name.text(), kind);
+    return stableHash(std::to_string(version.value), name);
+}
+
+std::size_t sizeOf(const StoredObject &change)
+{
+    return change.kind.text().size() + change.name.text().size() + change.value.size() + changeOverheadBytes;
+}
+
+} // namespace
+
+bool ConfigurationState::applyChange(const StoredObject &change)
+{
+    if (!isNew(change.key(), change.version)) {
+        return false;
+    }
+    store(change);
+    return true;
+}
+
+std::vector<StoredObject> ConfigurationState::applyListing(const StoreListing &listing)
+{
+    return applyWhole(listing.revision, listing.objects);
+}
+
+std::vector<StoredObject> ConfigurationState::applyChanges(const StoreChanges &changes)
+{
+    if (changes.tooOld) {
+        return {};
+    }
+    auto applied = applyEach(changes.changes);
+    if (changes.after <= complete_) {
+        raiseComplete(changes.revision);
+    }
+    return applied;
+}
+
+std::vector<StoredObject> ConfigurationState::applyDelta(const ConfigurationDelta &delta)
+{
+    if (delta.whole) {
+        return applyWhole(delta.upTo, delta.changes);
+    }
+    auto applied = applyEach(delta.changes);
+    if (delta.after > complete_) {
+        return applied;
+    }
+    for (const auto &gap : delta.gaps) {
+        addGap(gap);
+    }
+    raiseComplete(delta.upTo);
+    return applied;
+}
+
+ConfigurationDelta ConfigurationState::deltaFor(const ConfigurationDigest &peer, std::size_t maxBytes) const
+{
+    if (needsWhole(peer)) {
+        return wholeState();
+    }
+    ConfigurationDelta delta{peer.complete, std::max(peer.complete, complete_), {}, false, {}};
+    std::size_t bytes = 0;
+    for (auto entry = byVersion_.upper_bound({peer.complete, {}}); entry != byVersion_.end(); ++entry) {
+        const auto &[version, key] = *entry;
+        if (version <= peer.complete) {
+            continue;
+        }
+        const auto held = objects_.find(key);
+        auto change = held == objects_.end() ? StoredObject{key.kind, key.name, version, {}, true} : held->second;
+        bytes += sizeOf(change);
+        const bool full = bytes > maxBytes && !delta.changes.empty();
+        if (full && mayCutBetween(delta.changes.back().version, version)) {
+            delta.upTo = std::min(delta.upTo, delta.changes.back().version);
+            break;
+        }
+        delta.changes.push_back(std::move(change));
+    }
+    for (const auto &gap : gaps_) {
+        if (gap.upTo > delta.after && gap.upTo <= delta.upTo) {
+            delta.gaps.push_back(gap);
+        }
+    }
+    return delta;
+}
+
+ConfigurationDelta ConfigurationState::wholeState() const
+{
+    ConfigurationDelta delta{{}, complete_, {}, true, {}};
+    delta.changes.reserve(objects_.size());
+    for (const auto &[key, object] : objects_) {
+        delta.changes.push_back(object);
+    }
+    for (const auto &[key, version] : tombstones_) {
+        if (version > complete_) {
+            delta.changes.push_back({key.kind, key.name, version, {}, true});
+        }
+    }
+    return delta;
+}
+
+const StoredObject *ConfigurationState::find(const ObjectKey &key) const
+{
+    const auto found = objects_.find(key);
+    return found == objects_.end() ? nullptr : &found->second;
+}
+
+std::vector<const StoredObject *> ConfigurationState::ofKind(const ObjectKind &kind) const
+{
+    std::vector<const StoredObject *> found;
+    for (auto entry = objects_.lower_bound({kind, {}}); entry != objects_.end() && entry->first.kind == kind; ++entry) {
+        found.push_back(&entry->second);
+    }
+    return found;
+}
+
+bool ConfigurationState::isNew(const ObjectKey &key, Revision version) const
+{
+    if (version <= complete_) {
+        return false;
+    }
+    const auto held = objects_.find(key);
+    if (held != objects_.end()) {
+        return version > held->second.version;
+    }
+    const auto tombstone = tombstones_.find(key);
+    return tombstone == tombstones_.end() || version > tombstone->second;
+}
+
+void ConfigurationState::store(const StoredObject &change)
+{
+    const auto key = change.key();
+    erase(key);
+    byVersion_.emplace(change.version, key);
+    highest_ = std::max(highest_, change.version);
+    if (change.deleted) {
+        tombstones_[key] = change.version;
+        dropOldTombstones();
+        return;
+    }
+    hash_ += hashOf(key, change.version);
+    objects_[key] = change;
+}
+
+void ConfigurationState::erase(const ObjectKey &key)
+{
+    const auto held = objects_.find(key);
+    if (held != objects_.end()) {
+        hash_ -= hashOf(key, held->second.version);
+        byVersion_.erase({held->second.version, key});
+        objects_.erase(held);
+    }
+    const auto tombstone = tombstones_.find(key);
+    if (tombstone != tombstones_.end()) {
+        byVersion_.erase({tombstone->second, key});
+        tombstones_.erase(tombstone);
+    }
+}
+
+void ConfigurationState::raiseComplete(Revision revision)
+{
+    complete_ = std::max(complete_, revision);
+    highest_ = std::max(highest_, complete_);
+    dropOldTombstones();
+}
+
+void ConfigurationState::dropOldTombstones()
+{
+    if (tombstones_.size() <= limits_.tombstones) {
+        return;
+    }
+    // One above `complete_` still guards against the older version and must stay.
+    auto entry = byVersion_.begin();
+    while (entry != byVersion_.end() && entry->first <= complete_ && tombstones_.size() > limits_.tombstones) {
+        const auto tombstone = tombstones_.find(entry->second);
+        if (tombstone == tombstones_.end()) {
+            ++entry;
+            continue;
+        }
+        floor_ = std::max(floor_, entry->first);
+        tombstones_.erase(tombstone);
+        entry = byVersion_.erase(entry);
+    }
+}
+
+std::vector<StoredObject> ConfigurationState::applyEach(const std::vector<StoredObject> &changes)
+{
+    std::vector<StoredObject> applied;
+    for (const auto &change : changes) {
+        if (applyChange(change)) {
+            applied.push_back(change);
+        }
+    }
+    return applied;
+}
+
+std::vector<StoredObject> ConfigurationState::applyWhole(Revision revision, const std::vector<StoredObject> &objects)
+{
+    if (revision < complete_) {
+        return {};
+    }
+    auto applied = applyEach(objects);
+    std::set<ObjectKey> listed;
+    for (const auto &object : objects) {
+        listed.insert(object.key());
+    }
+    std::vector<StoredObject> missing;
+    for (const auto &[key, object] : objects_) {
+        if (object.version <= revision && listed.count(key) == 0) {
+            missing.push_back({key.kind, key.name, revision, {}, true});
+        }
+    }
+    for (auto &deletion : missing) {
+        store(deletion);
+        applied.push_back(std::move(deletion));
+    }
+    addGap({complete_, revision});
+    raiseComplete(revision);
+    return applied;
+}
+
+void ConfigurationState::addGap(const RevisionGap &gap)
+{
+    if (gap.upTo <= complete_) {
+        return;
+    }
+    if (complete_.value == 0) {
+        floor_ = gap.upTo;
+        return;
+    }
+    gaps_.push_back({std::min(gap.after, complete_), gap.upTo});
+    if (gaps_.size() > limits_.gaps) {
+        floor_ = std::max(floor_, gaps_.front().upTo);
+        gaps_.erase(gaps_.begin());
+    }
+}
+
+bool ConfigurationState::needsWhole(const ConfigurationDigest &peer) const
+{
+    if (peer.complete < floor_) {
+        return true;
+    }
+    return std::any_of(
+        gaps_.begin(), gaps_.end(), [&](const RevisionGap &gap) { return peer.complete < gap.upTo && peer.highest > gap.after; });
+}
+
+bool ConfigurationState::mayCutBetween(Revision before, Revision next) const
+{
+    if (before == next) {
+        return false;
+    }
+    return std::none_of(gaps_.begin(), gaps_.end(), [&](const RevisionGap &gap) { return before > gap.after && before < gap.upTo; });
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/membership/rendezvous.cpp
@@ -0,0 +1,134 @@
+// Scores instances for groups and picks the best of each failure domain.
+#include "membership/rendezvous.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+/// Mixes two hashes into an even score.
+constexpr std::uint64_t scoreOf(std::uint64_t group, std::uint64_t instance) noexcept
+{
+    auto mixed = group ^ (instance * 0x9e3779b97f4a7c15ULL);
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+    return mixed ^ (mixed >> 31U);
+}
+
+} // namespace
+
+InstanceSet::InstanceSet(std::vector<LiveInstance> instances)
+    : instances_(std::move(instances))
+{
+    std::sort(instances_.begin(), instances_.end());
+    const auto sameName = [](const LiveInstance &left, const LiveInstance &right) {
+        return left.name == right.name;
+    };
+    instances_.erase(std::unique(instances_.begin(), instances_.end(), sameName), instances_.end());
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        byDomain_[instances_[index].domain].push_back({stableHash(instances_[index].name.text()), index});
+    }
+}
+
+std::optional<InstanceSet::Choice> InstanceSet::choose(std::uint64_t groupHash, const std::vector<Candidate> &candidates) const
+{
+    std::optional<Choice> chosen;
+    for (const auto &candidate : candidates) {
+        const auto score = scoreOf(groupHash, candidate.hash);
+        const bool better = !chosen || score > chosen->score
+            || (score == chosen->score && instances_[candidate.index].name < instances_[chosen->index].name);
+        if (better) {
+            chosen = Choice{score, candidate.index};
+        }
+    }
+    return chosen;
+}
+
+std::vector<const LiveInstance *> InstanceSet::owners(const GroupName &group, const std::vector<FailureDomain> &domains) const
+{
+    const auto groupHash = stableHash(group.text());
+    std::vector<Choice> choices;
+    const auto consider = [&](const std::vector<Candidate> &candidates) {
+        const auto chosen = choose(groupHash, candidates);
+        const bool seen =
+            std::any_of(choices.begin(), choices.end(), [&](const Choice &other) { return chosen && other.index == chosen->index; });
+        if (chosen && !seen) {
+            choices.push_back(*chosen);
+        }
+    };
+    for (const auto &domain : domains) {
+        const auto found = byDomain_.find(domain);
+        if (found != byDomain_.end()) {
+            consider(found->second);
+        }
+    }
+    const bool onlyOne = choices.empty();
+    if (onlyOne) {
+        for (const auto &[domain, candidates] : byDomain_) {
+            consider(candidates);
+        }
+    }
+    std::sort(choices.begin(), choices.end(), [this](const Choice &left, const Choice &right) {
+        return std::tie(right.score, instances_[left.index].name) < std::tie(left.score, instances_[right.index].name);
+    });
+    if (onlyOne && choices.size() > 1) {
+        choices.resize(1);
+    }
+    std::vector<const LiveInstance *> owners;
+    owners.reserve(choices.size());
+    for (const auto &choice : choices) {
+        owners.push_back(&instances_[choice.index]);
+    }
+    return owners;
+}
+
+const LiveInstance *
+InstanceSet::ownerNear(const GroupName &group, const std::vector<FailureDomain> &domains, const FailureDomain &home) const
+{
+    const auto all = owners(group, domains);
+    const auto near = std::find_if(all.begin(), all.end(), [&](const LiveInstance *owner) { return owner->domain == home; });
+    if (near != all.end()) {
+        return *near;
+    }
+    return all.empty() ? nullptr : all.front();
+}
+
+std::optional<std::size_t>
+InstanceSet::rank(const GroupName &group, const std::vector<FailureDomain> &domains, const InstanceName &instance) const
+{
+    const auto all = owners(group, domains);
+    const auto own = std::find_if(all.begin(), all.end(), [&](const LiveInstance *owner) { return owner->name == instance; });
+    if (own == all.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(own - all.begin());
+}
+
+std::vector<const LiveInstance *> InstanceSet::best(std::string_view purpose, const FailureDomain &domain, std::size_t count) const
+{
+    std::vector<const LiveInstance *> chosen;
+    const auto found = byDomain_.find(domain);
+    if (found == byDomain_.end()) {
+        return chosen;
+    }
+    const auto purposeHash = stableHash(purpose);
+    auto candidates = found->second;
+    const auto kept = std::min(count, candidates.size());
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(candidates.begin(), end, candidates.end(), [&](const Candidate &left, const Candidate &right) {
+        const auto leftScore = scoreOf(purposeHash, left.hash);
+        const auto rightScore = scoreOf(purposeHash, right.hash);
+        return leftScore != rightScore ? leftScore > rightScore : left.index < right.index;
+    });
+    for (auto candidate = candidates.begin(); candidate != end; ++candidate) {
+        chosen.push_back(&instances_[candidate->index]);
+    }
+    return chosen;
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/platform/callbudget.cpp
@@ -0,0 +1,90 @@
+// Refills and takes tokens of a CallBudget.
+#include "platform/callbudget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamomstep {
+
+namespace {
+
+/// Half of the store's "about two thousand" reads and "several hundred" writes a second.
+constexpr double fleetReadsPerSecond = 1000;
+constexpr double fleetWritesPerSecond = 150;
+/// Bursts of the whole fleet, bounded so that all proxies at once stay within a second of the store's rates.
+constexpr double fleetReadBurst = 1000;
+constexpr double fleetWriteBurst = 150;
+/// A single call, or one change with its read-back, must always fit.
+constexpr double leastReadBurst = 4;
+constexpr double leastWriteBurst = 2;
+/// A small fleet needs no more than this for each proxy.
+constexpr CallRate mostReads{50, 100};
+constexpr CallRate mostWrites{25, 50};
+
+constexpr double millisecondsPerSecond = 1000;
+
+} // namespace
+
+CallBudgetOptions callBudgetFor(std::size_t proxies) noexcept
+{
+    const auto count = static_cast<double>(std::max<std::size_t>(proxies, 1));
+    CallBudgetOptions options;
+    options.reads.perSecond = std::min(mostReads.perSecond, fleetReadsPerSecond / count);
+    options.reads.burst = std::clamp(fleetReadBurst / count, leastReadBurst, mostReads.burst);
+    options.writes.perSecond = std::min(mostWrites.perSecond, fleetWritesPerSecond / count);
+    options.writes.burst = std::clamp(fleetWriteBurst / count, leastWriteBurst, mostWrites.burst);
+    return options;
+}
+
+CallBudget::CallBudget(CallBudgetOptions options) noexcept
+{
+    buckets_[static_cast<std::size_t>(CallKind::Read)].rate = options.reads;
+    buckets_[static_cast<std::size_t>(CallKind::Write)].rate = options.writes;
+}
+
+bool CallBudget::take(CallKind kind, TimePoint now) noexcept
+{
+    auto &bucket = refilled(kind, now);
+    if (bucket.tokens < 1) {
+        return false;
+    }
+    bucket.tokens -= 1;
+    return true;
+}
+
+Milliseconds CallBudget::wait(CallKind kind, TimePoint now) noexcept
+{
+    const auto &bucket = refilled(kind, now);
+    if (bucket.tokens >= 1) {
+        return Milliseconds{0};
+    }
+    const auto seconds = (1 - bucket.tokens) / bucket.rate.perSecond;
+    return Milliseconds{static_cast<Milliseconds::rep>(std::ceil(seconds * millisecondsPerSecond))};
+}
+
+void CallBudget::setOptions(CallBudgetOptions options, TimePoint now) noexcept
+{
+    for (const auto kind : {CallKind::Read, CallKind::Write}) {
+        auto &bucket = refilled(kind, now);
+        bucket.rate = kind == CallKind::Read ? options.reads : options.writes;
+        bucket.tokens = std::min(bucket.tokens, bucket.rate.burst);
+    }
+}
+
+CallBudget::Bucket &CallBudget::refilled(CallKind kind, TimePoint now) noexcept
+{
+    auto &bucket = buckets_[static_cast<std::size_t>(kind)];
+    if (!bucket.started) {
+        bucket.started = true;
+        bucket.tokens = bucket.rate.burst;
+        bucket.filled = now;
+    }
+    if (now > bucket.filled) {
+        const std::chrono::duration<double> passed = now - bucket.filled;
+        bucket.tokens = std::min(bucket.rate.burst, bucket.tokens + passed.count() * bucket.rate.perSecond);
+        bucket.filled = now;
+    }
+    return bucket;
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/platform/fwd.h
@@ -0,0 +1,21 @@
+// Forward declarations of the platform slice: the store, its instance list and the budget of calls to it.
+#pragma once
+
+namespace cardamomstep {
+
+struct Revision;
+struct ObjectKey;
+struct StoredObject;
+struct StoreListing;
+struct StoreChanges;
+struct StoreWrite;
+struct StoreWritten;
+struct ListedInstance;
+struct StoreOptions;
+class StoreClient;
+class WriteResolution;
+class CallBudget;
+class Backoff;
+class WatchResume;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/platform/object.h
@@ -0,0 +1,109 @@
+// Objects of the platform's store and the instances of its list, as plain values.
+#pragma once
+
+#include "base/ids.h"
+#include "platform/fwd.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace cardamomstep {
+
+/// The kind of an object in the store, for example "group".
+using ObjectKind = StrongId<struct ObjectKindTag>;
+/// The name of an object, unique within its kind.
+using ObjectName = StrongId<struct ObjectNameTag>;
+/// A writer's own random mark on one write; drawn anew for each write.
+using WriterNonce = StrongId<struct WriterNonceTag>;
+
+/// A store-wide revision: it grows with each change of any object. 0 stands for "before all changes" or "absent".
+struct Revision {
+    std::uint64_t value = 0;
+
+    [[nodiscard]] constexpr auto operator<=>(const Revision &) const noexcept = default;
+};
+
+inline std::ostream &operator<<(std::ostream &out, const Revision &revision)
+{
+    return out << revision.value;
+}
+
+/// What names an object.
+struct ObjectKey {
+    ObjectKind kind;
+    ObjectName name;
+
+    [[nodiscard]] auto operator<=>(const ObjectKey &) const = default;
+    [[nodiscard]] bool operator==(const ObjectKey &) const = default;
+};
+
+/// One version of an object, or its deletion.
+struct StoredObject {
+    ObjectKind kind;
+    ObjectName name;
+    /// Revision of the change that made this version.
+    Revision version;
+    /// The value as JSON text; empty for a deletion.
+    std::string value;
+    bool deleted = false;
+
+    [[nodiscard]] ObjectKey key() const
+    {
+        return {kind, name};
+    }
+    [[nodiscard]] bool operator==(const StoredObject &) const = default;
+};
+
+/// All objects of one kind, or of all kinds, as they stood at one revision.
+struct StoreListing {
+    Revision revision;
+    std::vector<StoredObject> objects;
+
+    [[nodiscard]] bool operator==(const StoreListing &) const = default;
+};
+
+/// All changes after one revision up to another, in order.
+struct StoreChanges {
+    Revision after;
+    /// The changes are whole up to this revision; not below `after` unless the store answered from an old state.
+    Revision revision;
+    std::vector<StoredObject> changes;
+    /// True when `after` is too old to resume from (status 410): list again. There are no changes then.
+    bool tooOld = false;
+
+    [[nodiscard]] bool operator==(const StoreChanges &) const = default;
+};
+
+/// The state that the platform's list gives an instance.
+enum class ListedState : std::uint8_t {
+    Live,
+    Leaving,
+};
+
+/// An entry of the platform's instance list, which lags behind reality.
+struct ListedInstance {
+    /// Instance name; for endpoints this is the member's name.
+    std::string name;
+    FailureDomain domain;
+    Address address;
+    ListedState state = ListedState::Live;
+    /// "proxy" for instances of this system, "endpoint" for members.
+    std::string role = "proxy";
+
+    [[nodiscard]] bool operator==(const ListedInstance &) const = default;
+};
+
+} // namespace cardamomstep
+
+template<>
+struct std::hash<cardamomstep::ObjectKey> {
+    [[nodiscard]] std::size_t operator()(const cardamomstep::ObjectKey &key) const noexcept
+    {
+        constexpr std::size_t mixer = 0x9e3779b97f4a7c15ULL;
+        return (std::hash<std::string>{}(key.kind.text()) * mixer) ^ std::hash<std::string>{}(key.name.text());
+    }
+};
--- /dev/null
+++ b/src/platform/resolution.cpp
@@ -0,0 +1,166 @@
+// Decides from replies and read-backs whether a write took effect.
+#include "platform/resolution.h"
+
+#include "platform/writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+/// Waits between attempts of one write, which a person or a proxy is waiting for.
+constexpr BackoffOptions attemptWaits{Milliseconds{50}, Milliseconds{1000}};
+/// When to ask again after an answer that names no better time.
+constexpr Milliseconds comeBack{1000};
+
+const WriterNonce *nonceAt(const WriterMark &mark, Revision version)
+{
+    const auto entry =
+        std::find_if(mark.earlier.begin(), mark.earlier.end(), [&](const EarlierWriter &writer) { return writer.version == version; });
+    return entry == mark.earlier.end() ? nullptr : &entry->nonce;
+}
+
+} // namespace
+
+WriteResolution::WriteResolution(StoreWrite write, TimePoint deadline, std::uint64_t seed)
+    : write_(std::move(write))
+    , deadline_(deadline)
+    , random_(seed)
+    , backoff_(attemptWaits)
+{
+}
+
+WriteAction WriteResolution::start()
+{
+    return SendWrite{};
+}
+
+WriteAction WriteResolution::onWriteReply(const WriteReply &reply, TimePoint now)
+{
+    switch (reply.kind) {
+    case WriteReplyKind::Written:
+        return finishedAt(reply.version);
+    case WriteReplyKind::Mismatch:
+        // An earlier copy of this write may be what moved the version on.
+        if (lost_) {
+            return ReadBack{};
+        }
+        return conflictAt(reply.version);
+    case WriteReplyKind::TooLarge:
+        return lost_ ? unknownAt({}) : WriteFinished{Error{ErrorKind::TooLarge, "the store refuses a value of this size"}};
+    case WriteReplyKind::Rejected:
+        return lost_ ? unknownAt({}) : WriteFinished{Error{ErrorKind::MalformedRequest, "the store refuses this write"}};
+    case WriteReplyKind::NotSent:
+    case WriteReplyKind::TooManyCalls:
+        return waitOrGiveUp(now);
+    case WriteReplyKind::Lost:
+        break;
+    }
+    lost_ = true;
+    if (now >= deadline_) {
+        return giveUp();
+    }
+    return ReadBack{};
+}
+
+WriteAction WriteResolution::onReadBack(const ReadBackReply &reply, TimePoint now)
+{
+    if (!reply.answered) {
+        readNext_ = true;
+        return waitOrGiveUp(now);
+    }
+    if (!reply.object || reply.object->deleted) {
+        return judgeAbsence();
+    }
+    if (reply.object->version != write_.expected) {
+        return judge(*reply.object);
+    }
+    // Not applied so far; a copy may still be on its way, so only another conditional write settles it.
+    readNext_ = false;
+    return waitOrGiveUp(now);
+}
+
+WriteAction WriteResolution::onWaited(TimePoint now)
+{
+    if (now >= deadline_) {
+        return giveUp();
+    }
+    if (readNext_) {
+        readNext_ = false;
+        return ReadBack{};
+    }
+    return SendWrite{};
+}
+
+WriteAction WriteResolution::judge(const StoredObject &found)
+{
+    if (write_.removal) {
+        // Either another writer changed it first, or it was removed and made anew.
+        return unknownAt(found.version);
+    }
+    const auto mark = readWriterMark(found.value);
+    if (mark.nonce == write_.nonce) {
+        return finishedAt(found.version);
+    }
+    const auto ours = std::find_if(
+        mark.earlier.begin(), mark.earlier.end(), [this](const EarlierWriter &writer) { return writer.nonce == write_.nonce; });
+    if (ours != mark.earlier.end()) {
+        return finishedAt(ours->version);
+    }
+    // The chain of writers goes back to the version expected, without this write: another one came first.
+    const bool chainReachesExpected = write_.expected.value != 0 && nonceAt(mark, write_.expected) != nullptr;
+    return chainReachesExpected ? conflictAt(found.version) : unknownAt(found.version);
+}
+
+WriteAction WriteResolution::judgeAbsence()
+{
+    if (write_.removal) {
+        return finishedAt({});
+    }
+    if (write_.expected.value == 0) {
+        return SendWrite{};
+    }
+    return unknownAt({});
+}
+
+WriteAction WriteResolution::waitOrGiveUp(TimePoint now)
+{
+    const auto time = now + backoff_.next(random_);
+    if (time >= deadline_) {
+        return giveUp();
+    }
+    return WaitUntil{time};
+}
+
+WriteAction WriteResolution::giveUp() const
+{
+    if (lost_) {
+        return unknownAt({});
+    }
+    return WriteFinished{Error{ErrorKind::StoreUnavailable, "the store did not take the change"}.comingBackAfter(comeBack)};
+}
+
+WriteAction WriteResolution::finishedAt(Revision version) const
+{
+    return WriteFinished{StoreWritten{version, lost_}};
+}
+
+WriteAction WriteResolution::conflictAt(Revision current) const
+{
+    Error error{ErrorKind::Conflict, "the object was changed by another writer"};
+    error.currentVersion = current.value;
+    return WriteFinished{std::move(error)};
+}
+
+WriteAction WriteResolution::unknownAt(Revision current) const
+{
+    auto error = Error{ErrorKind::StoreOutcomeUnknown, "the store's answer was lost; read the object back"}.comingBackAfter(comeBack);
+    if (current.value != 0) {
+        error.currentVersion = current.value;
+    }
+    return WriteFinished{std::move(error)};
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/platform/writer.cpp
@@ -0,0 +1,76 @@
+// Reads and writes the writer's mark inside JSON values.
+#include "platform/writer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cardamomstep {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *writerField = "writer";
+constexpr const char *nonceField = "nonce";
+constexpr const char *earlierField = "earlier";
+constexpr const char *versionField = "version";
+
+std::string textIn(const Json &object, const char *field)
+{
+    const auto found = object.find(field);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+Revision versionIn(const Json &object)
+{
+    const auto found = object.find(versionField);
+    return found != object.end() && found->is_number_unsigned() ? Revision{found->get<std::uint64_t>()} : Revision{};
+}
+
+WriterMark markOf(const Json &value)
+{
+    WriterMark mark;
+    if (!value.is_object() || !value.contains(writerField) || !value[writerField].is_object()) {
+        return mark;
+    }
+    const auto &writer = value[writerField];
+    mark.nonce = WriterNonce{textIn(writer, nonceField)};
+    const auto earlier = writer.find(earlierField);
+    if (earlier == writer.end() || !earlier->is_array()) {
+        return mark;
+    }
+    for (const auto &entry : *earlier) {
+        if (entry.is_object() && mark.earlier.size() < earlierWritersKept) {
+            mark.earlier.push_back({WriterNonce{textIn(entry, nonceField)}, versionIn(entry)});
+        }
+    }
+    return mark;
+}
+
+} // namespace
+
+WriterMark readWriterMark(std::string_view value)
+{
+    return markOf(Json::parse(value, nullptr, false));
+}
+
+Result<std::string> withWriterMark(std::string_view value, const WriterNonce &nonce, const StoredObject *replaced)
+{
+    auto json = Json::parse(value, nullptr, false);
+    if (!json.is_object()) {
+        return Error{ErrorKind::InvalidRecord, "the value is not a JSON object"};
+    }
+    auto earlier = Json::array();
+    if (replaced != nullptr) {
+        const auto mark = readWriterMark(replaced->value);
+        earlier.push_back({{nonceField, mark.nonce.text()}, {versionField, replaced->version.value}});
+        for (const auto &entry : mark.earlier) {
+            if (earlier.size() < earlierWritersKept) {
+                earlier.push_back({{nonceField, entry.nonce.text()}, {versionField, entry.version.value}});
+            }
+        }
+    }
+    json[writerField] = {{nonceField, nonce.text()}, {earlierField, std::move(earlier)}};
+    return json.dump();
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/tests/platform/test_platform.cpp
@@ -0,0 +1,29 @@
+// Tests of the platform slice's values: object keys and the writer's mark.
+#include "platform/writer.h"
+
+#include <criterion/criterion.h>
+
+using namespace cardamomstep;
+
+Test(platform, writerMarkNamesReplacedVersions)
+{
+    StoredObject object{ObjectKind{"group"}, ObjectName{"g"}, Revision{5}, R"({"a":1})", false};
+    for (std::uint64_t round = 0; round < 20; ++round) {
+        const auto value = withWriterMark(R"({"a":1,"unknown":[1]})", WriterNonce{"n" + std::to_string(round)}, &object);
+        cr_assert(bool(value));
+        cr_assert(value->find("\"unknown\":[1]") != std::string::npos);
+        object.value = *value;
+        object.version = Revision{10 + round};
+    }
+    const auto mark = readWriterMark(object.value);
+    cr_assert(mark.nonce == WriterNonce{"n19"});
+    cr_assert(mark.earlier.size() == earlierWritersKept);
+    cr_assert((mark.earlier[0] == EarlierWriter{WriterNonce{"n18"}, Revision{28}}));
+}
+
+Test(platform, valuesThatAreNoObjectsTakeNoMark)
+{
+    cr_assert(!withWriterMark("[1]", WriterNonce{"n"}, nullptr));
+    cr_assert(!withWriterMark("{", WriterNonce{"n"}, nullptr));
+    cr_assert(readWriterMark("17") == WriterMark{});
+}
