--- a/src/configuration/state.cpp
+++ b/src/configuration/state.cpp
@@ -1,4 +1,4 @@
-// Applies changes to the known configuration and cuts deltas for peers.
+// Applies changes to the known configuration and makes deltas for peers.
 #include "configuration/state.h"
 
 #include "base/hash.h"
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Bytes of a change on its way, beside its texts.
-constexpr std::size_t changeOverheadBytes = 16;
-
 std::uint64_t hashOf(const ObjectKey &key, Revision version)
 {
     const auto kind = stableHash(key.kind.text());
@@ -20,11 +17,6 @@
     return stableHash(std::to_string(version.value), name);
 }
 
-std::size_t sizeOf(const StoredObject &change)
-{
-    return change.kind.text().size() + change.name.text().size() + change.value.size() + changeOverheadBytes;
-}
-
 } // namespace
 
 bool ConfigurationState::applyChange(const StoredObject &change)
@@ -69,30 +61,22 @@
     return applied;
 }
 
-ConfigurationDelta ConfigurationState::deltaFor(const ConfigurationDigest &peer, std::size_t maxBytes) const
+ConfigurationDelta ConfigurationState::deltaFor(const ConfigurationDigest &peer) const
 {
     if (needsWhole(peer)) {
         return wholeState();
     }
     ConfigurationDelta delta{peer.complete, std::max(peer.complete, complete_), {}, false, {}};
-    std::size_t bytes = 0;
     for (auto entry = byVersion_.upper_bound({peer.complete, {}}); entry != byVersion_.end(); ++entry) {
         const auto &[version, key] = *entry;
         if (version <= peer.complete) {
             continue;
         }
         const auto held = objects_.find(key);
-        auto change = held == objects_.end() ? StoredObject{key.kind, key.name, version, {}, true} : held->second;
-        bytes += sizeOf(change);
-        const bool full = bytes > maxBytes && !delta.changes.empty();
-        if (full && mayCutBetween(delta.changes.back().version, version)) {
-            delta.upTo = std::min(delta.upTo, delta.changes.back().version);
-            break;
-        }
-        delta.changes.push_back(std::move(change));
+        delta.changes.push_back(held == objects_.end() ? StoredObject{key.kind, key.name, version, {}, true} : held->second);
     }
     for (const auto &gap : gaps_) {
-        if (gap.upTo > delta.after && gap.upTo <= delta.upTo) {
+        if (gap.upTo > delta.after) {
             delta.gaps.push_back(gap);
         }
     }
@@ -259,12 +243,4 @@
         gaps_.begin(), gaps_.end(), [&](const RevisionGap &gap) { return peer.complete < gap.upTo && peer.highest > gap.after; });
 }
 
-bool ConfigurationState::mayCutBetween(Revision before, Revision next) const
-{
-    if (before == next) {
-        return false;
-    }
-    return std::none_of(gaps_.begin(), gaps_.end(), [&](const RevisionGap &gap) { return before > gap.after && before < gap.upTo; });
-}
-
 } // namespace cardamomstep
--- a/src/configuration/state.h
+++ b/src/configuration/state.h
@@ -95,11 +95,11 @@
     /// Takes what a peer handed over; returns the changes that were new here.
     std::vector<StoredObject> applyDelta(const ConfigurationDelta &delta);
 
-    /// What the peer with the digest \a peer lacks, of about \a maxBytes at most (one change at least, and a gap in one piece).
+    /// What the peer with the digest \a peer lacks.
     ///
-    /// A cut delta has a lower `upTo`, from which the peer asks on. A peer that may hold an object whose tombstone is not here gets
-    /// all objects, whatever their size; see wholeState().
-    [[nodiscard]] ConfigurationDelta deltaFor(const ConfigurationDigest &peer, std::size_t maxBytes) const;
+    /// Never cut in the middle: of an object that changed twice only the newer version is sent, so a part of the changes would not
+    /// be a whole state at any revision. A peer that may hold an object whose tombstone is not here gets all objects.
+    [[nodiscard]] ConfigurationDelta deltaFor(const ConfigurationDigest &peer) const;
 
     /// All objects known, with `upTo` the revision up to which they are whole.
     [[nodiscard]] ConfigurationDelta wholeState() const;
@@ -137,7 +137,6 @@
     std::vector<StoredObject> applyEach(const std::vector<StoredObject> &changes);
     void addGap(const RevisionGap &gap);
     [[nodiscard]] bool needsWhole(const ConfigurationDigest &peer) const;
-    [[nodiscard]] bool mayCutBetween(Revision before, Revision next) const;
     std::vector<StoredObject> applyWhole(Revision revision, const std::vector<StoredObject> &objects);
 
     ConfigurationLimits limits_;
--- a/src/platform/resolution.cpp
+++ b/src/platform/resolution.cpp
@@ -72,7 +72,7 @@
         return waitOrGiveUp(now);
     }
     if (!reply.object || reply.object->deleted) {
-        return judgeAbsence();
+        return judgeAbsence(now);
     }
     if (reply.object->version != write_.expected) {
         return judge(*reply.object);
@@ -114,15 +114,17 @@
     return chainReachesExpected ? conflictAt(found.version) : unknownAt(found.version);
 }
 
-WriteAction WriteResolution::judgeAbsence()
+WriteAction WriteResolution::judgeAbsence(TimePoint now)
 {
     if (write_.removal) {
         return finishedAt({});
     }
-    if (write_.expected.value == 0) {
-        return SendWrite{};
+    if (write_.expected.value != 0) {
+        return unknownAt({});
     }
-    return unknownAt({});
+    // Never applied, on its way, or applied and removed by another: sent again it could bring a removed object back.
+    readNext_ = true;
+    return waitOrGiveUp(now);
 }
 
 WriteAction WriteResolution::waitOrGiveUp(TimePoint now)
--- a/src/platform/resolution.h
+++ b/src/platform/resolution.h
@@ -88,6 +88,7 @@
 ///
 /// A write is sent again only while the store still holds the expected version, so that at most one copy takes effect.
 /// Where a copy may still be on its way, "not applied" is told only once the version has moved past the expected one.
+/// The creation of an object is never sent again after a lost answer: absence does not show whether it was made and removed since.
 class WriteResolution
 {
 public:
@@ -105,7 +106,7 @@
 
 private:
     [[nodiscard]] WriteAction judge(const StoredObject &found);
-    [[nodiscard]] WriteAction judgeAbsence();
+    [[nodiscard]] WriteAction judgeAbsence(TimePoint now);
     [[nodiscard]] WriteAction waitOrGiveUp(TimePoint now);
     [[nodiscard]] WriteAction giveUp() const;
     [[nodiscard]] WriteAction finishedAt(Revision version) const;
