--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -3,3 +3,12 @@
 
 cardamomstep_library(http base cxxtools-http cxxtools Threads::Threads)
 cardamomstep_test(http)
+
+cardamomstep_library(members base http)
+
+
+# Generated code is committed and compiled as it is, without our warnings.
+add_library(peerwire STATIC ${CMAKE_SOURCE_DIR}/src/peer/generated/peer.pb.cc ${CMAKE_SOURCE_DIR}/src/peer/generated/peer.grpc.pb.cc)
+target_include_directories(peerwire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/src/peer/generated)
+target_link_libraries(peerwire PUBLIC PkgConfig::GRPC PkgConfig::PROTOBUF)
+cardamomstep_library(peer base peerwire)
--- /dev/null
+++ b/src/peer/fwd.h
@@ -0,0 +1,13 @@
+// Forward declarations of the peer slice.
+#pragma once
+
+namespace cardamomstep::peer {
+
+struct Failure;
+struct Handlers;
+struct Credentials;
+struct Sighting;
+class Client;
+class Server;
+
+} // namespace cardamomstep::peer
