--- /dev/null
+++ b/src/groups/fwd.h
@@ -0,0 +1,21 @@
+// Forward declarations of the groups slice.
+#pragma once
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+struct GroupPolicy;
+struct GroupMember;
+struct PeerSighting;
+struct PrimaryView;
+enum class OrderKind : std::uint8_t;
+enum class PromotionReason : std::uint8_t;
+enum class NoteKind : std::uint8_t;
+enum class Coverage : std::uint8_t;
+class AckTracker;
+class GroupMonitor;
+class LegitimacyRounds;
+class Switchover;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/groups/impl/promotion.h
@@ -0,0 +1,64 @@
+// One attempt to give a group a new primary: adoption by a majority, then one member leads.
+#pragma once
+
+#include "base/ids.h"
+#include "base/mark.h"
+#include "base/time.h"
+#include "groups/action.h"
+#include "members/member.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace cardamomstep {
+
+/// What an attempt is about.
+struct PromotionPlan {
+    Term term;
+    PromotionReason reason = PromotionReason::NoPrimary;
+    /// A member that should not lead and whose adoption counts only where no majority is had without it; may be empty.
+    MemberName avoid;
+    /// True when `avoid` must not be asked at all.
+    bool skipAvoided = false;
+    /// A member to be chosen among equals; may be empty.
+    MemberName prefer;
+    TimePoint detectedAt;
+    TimePoint startedAt;
+    TimePoint deadline;
+};
+
+/// An attempt at one term.
+///
+/// Invariant: candidate() is set at most once and only after a majority has adopted exactly this term; so no two
+/// members are ever told to lead at one term.
+class Promotion
+{
+public:
+    Promotion(PromotionPlan plan, std::size_t memberCount);
+
+    [[nodiscard]] const PromotionPlan &plan() const noexcept;
+    [[nodiscard]] const Term &term() const noexcept;
+
+    /// \a report shows that its member adopted the attempt's term, with the log it had after that.
+    void onAdopted(const MemberReport &report);
+    [[nodiscard]] bool adoptedBy(const MemberName &member) const noexcept;
+
+    /// Chooses the member that is to lead as soon as it can be chosen safely; \a last when no more adoptions are to come.
+    void choose(bool last);
+    /// The member that is to lead; empty during adoption.
+    [[nodiscard]] const MemberName &candidate() const noexcept;
+
+private:
+    [[nodiscard]] bool better(const MemberReport &left, const MemberReport &right) const noexcept;
+    [[nodiscard]] const MemberReport *best(bool withAvoided) const noexcept;
+    [[nodiscard]] std::size_t adopters(bool withAvoided) const noexcept;
+
+    PromotionPlan plan_;
+    std::size_t majority_;
+    /// One for each member that adopted.
+    std::vector<MemberReport> adopted_;
+    MemberName candidate_;
+};
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/groups/monitor.h
@@ -0,0 +1,181 @@
+// Watches one database group, finds its primary and replaces it when it fails; see docs/design/failover.md.
+#pragma once
+
+#include "base/ids.h"
+#include "base/mark.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "groups/action.h"
+#include "groups/impl/memberwatch.h"
+#include "groups/impl/promotion.h"
+#include "groups/impl/suspicion.h"
+#include "groups/member.h"
+#include "groups/policy.h"
+#include "groups/sighting.h"
+#include "groups/switchover.h"
+#include "members/member.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace cardamomstep {
+
+/// The decisions of one owner about one group.
+///
+/// Up to three owners run the same machine for a group and need not agree on anything: safety rests on the members'
+/// terms alone. Every input returns the actions that follow from it, in order. Inputs are never concurrent, and their
+/// `now` never goes back.
+///
+/// Example of a shell's loop:
+/// \code
+/// perform(monitor.tick(now));
+/// sleepUntil(monitor.nextWake());
+/// \endcode
+class GroupMonitor
+{
+public:
+    /// Watches \a members as an owner of rank \a rank; 0 acts first.
+    ///
+    /// \a seed must differ between processes and starts, because proposers of terms are drawn from it.
+    GroupMonitor(std::vector<GroupMember> members, unsigned rank, const GroupPolicy &policy, std::uint64_t seed, TimePoint now);
+
+    /// Time has passed; also the first input.
+    [[nodiscard]] GroupActions tick(TimePoint now);
+
+    /// \a report came from \a member, asked for at \a sentAt: the reply to a SendReport.
+    [[nodiscard]] GroupActions onReport(const MemberName &member, const MemberReport &report, TimePoint sentAt, TimePoint now);
+
+    /// A SendReport to \a member failed.
+    [[nodiscard]] GroupActions onLinkFailure(const MemberName &member, const LinkFailure &failure, TimePoint now);
+
+    /// \a member replied to the order \a kind of \a term that was sent at \a sentAt.
+    [[nodiscard]] GroupActions
+    onOrderReply(const MemberName &member, OrderKind kind, const Term &term, const TermReply &reply, TimePoint sentAt, TimePoint now);
+
+    /// The order \a kind of \a term to \a member failed; it may still have taken effect.
+    [[nodiscard]] GroupActions
+    onOrderFailure(const MemberName &member, OrderKind kind, const Term &term, const LinkFailure &failure, TimePoint now);
+
+    /// Another owner told what it knows.
+    [[nodiscard]] GroupActions onPeerSighting(const InstanceName &peer, const PeerSighting &sighting, TimePoint now);
+
+    /// A statement's exchange with \a member succeeded: a sign of life. Refusals by the member count too.
+    [[nodiscard]] GroupActions onStatementEvidence(const MemberName &member, TimePoint now);
+
+    /// This owner's rank changed.
+    [[nodiscard]] GroupActions setRank(unsigned rank, TimePoint now);
+
+    /// The group's configured members changed.
+    ///
+    /// Majorities of the old and the new list must intersect: change one member at a time.
+    [[nodiscard]] GroupActions setMembers(std::vector<GroupMember> members, TimePoint now);
+
+    /// The policy changed, for example its heartbeat interval (see pacing.h).
+    [[nodiscard]] GroupActions setPolicy(const GroupPolicy &policy, TimePoint now);
+
+    /// \a leaving is to stop: if it leads, hand over to a replica. Asking again while one is under way does nothing.
+    [[nodiscard]] GroupActions requestSwitchover(const MemberName &leaving, TimePoint now);
+
+    /// When tick() must be called at the latest.
+    [[nodiscard]] TimePoint nextWake() const noexcept;
+
+    /// The primary at the highest term known; none while no member is known to lead.
+    [[nodiscard]] std::optional<PrimaryView> primary() const;
+
+    /// What to tell the other owners.
+    [[nodiscard]] PeerSighting sighting(TimePoint now) const;
+
+    /// The last report of \a member; none when it has not reported.
+    [[nodiscard]] std::optional<MemberReport> lastReport(const MemberName &member) const;
+
+    /// Time since the last sign of life of \a member; none when there was none or the member is unknown.
+    [[nodiscard]] std::optional<Microseconds> age(const MemberName &member, TimePoint now) const;
+
+    /// True while an own attempt is under way.
+    [[nodiscard]] bool promoting() const noexcept;
+
+    /// The configured members.
+    [[nodiscard]] const std::vector<GroupMember> &members() const noexcept;
+
+private:
+    struct Need {
+        PromotionReason reason = PromotionReason::NoPrimary;
+        TimePoint since;
+    };
+
+    [[nodiscard]] GroupActions settle(TimePoint now);
+
+    [[nodiscard]] MemberWatch *find(const MemberName &member) noexcept;
+    [[nodiscard]] const MemberWatch *find(const MemberName &member) const noexcept;
+    [[nodiscard]] std::size_t majority() const noexcept;
+    [[nodiscard]] bool isPrimary(const MemberName &member) const noexcept;
+
+    void learn(MemberWatch &watch, const MemberReport &report, TimePoint sentAt, TimePoint now);
+    void noteTerm(const Term &term, TimePoint now);
+    void forgiveOwnPause(TimePoint now);
+    void refreshPrimary(TimePoint now);
+    void believe(const MemberWatch &watch, TimePoint now);
+    void losePrimary();
+    void confirmPrimary();
+    void refreshReplication(TimePoint now);
+    void refreshNeed(TimePoint now);
+    [[nodiscard]] std::optional<PromotionReason> findNeed(TimePoint now);
+    [[nodiscard]] std::optional<PromotionReason> needWithoutPrimary(TimePoint now) const;
+    [[nodiscard]] std::optional<PromotionReason> needWithPrimary(TimePoint now);
+    [[nodiscard]] bool primaryDead(const MemberWatch &watch, TimePoint now);
+    [[nodiscard]] Microseconds startDelay(PromotionReason reason);
+    [[nodiscard]] bool mayPromote(TimePoint now) const;
+    void startPromotion(PromotionReason reason, TimePoint detectedAt, TimePoint now);
+    void advancePromotion(TimePoint now);
+    void sendPromotionOrders(TimePoint now);
+    void sendOrder(MemberWatch &watch, OrderKind kind, const Term &term, TimePoint now);
+    void abandonPromotion(TimePoint now);
+    void finishPromotion(const MemberWatch &watch, TimePoint now);
+    void redirectMembers(TimePoint now);
+    void sendReports(TimePoint now);
+    void advanceSwitchover(TimePoint now);
+    void endSwitchover(NoteKind note, TimePoint now);
+    void askPeers(TimePoint now);
+    void note(NoteKind kind, const MemberName &member, const Term &term, PromotionReason reason = PromotionReason::Observed);
+    [[nodiscard]] Term majorityAdopted() const;
+    [[nodiscard]] std::size_t reachableMembers(TimePoint now, const MemberName &without) const;
+
+    std::vector<GroupMember> members_;
+    /// In the order of members_.
+    std::vector<MemberWatch> watches_;
+    unsigned rank_;
+    GroupPolicy policy_;
+    Random random_;
+    /// Actions of the input that is being handled; empty between inputs.
+    GroupActions actions_;
+
+    /// Highest term seen anywhere; new attempts go above it.
+    Term highest_;
+    /// When highest_ last grew: somebody is promoting.
+    TimePoint highestSince_;
+    std::optional<PrimaryView> primary_;
+    /// The last member that was known to lead.
+    MemberName previousPrimary_;
+    /// Other owners' sightings, at most one for each of Suspicion's bounded number of peers.
+    Suspicion suspicion_;
+    ReplicationWatch replication_;
+
+    std::optional<Need> need_;
+    /// Earliest start of an attempt for need_.
+    TimePoint startAt_;
+    /// End of the pause after a failed attempt.
+    TimePoint backOffUntil_;
+    unsigned failedAttempts_ = 0;
+    std::optional<Promotion> promotion_;
+    Switchover switchover_;
+    /// Earliest start of the next switchover.
+    TimePoint switchoverAllowedAt_;
+    /// A member that was asked to leave; empty when none was.
+    MemberName leaving_;
+
+    TimePoint lastInput_;
+    TimePoint wake_;
+};
+
+} // namespace cardamomstep
