--- /dev/null
+++ b/src/connections/fwd.h
@@ -0,0 +1,11 @@
+// Forward declarations of the connections slice.
+#pragma once
+
+namespace cardamomstep {
+
+struct Holder;
+class ConnectionShare;
+class ConnectionPool;
+class SilenceDetector;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/connections/silence.h
@@ -0,0 +1,113 @@
+// Detects connections that have gone silent, and tells a silent connection from a silent member.
+#pragma once
+
+#include "base/time.h"
+#include "connections/fwd.h"
+#include "connections/key.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace cardamomstep {
+
+/// Probe the member on a new connection, then report probeAnswered() or probeFailed().
+struct ProbeMember {
+    ConnectionKey suspect = 0;
+
+    [[nodiscard]] bool operator==(const ProbeMember &) const = default;
+};
+
+/// The connection is silent though the member answers: move its work and close it.
+struct CloseSilent {
+    ConnectionKey key = 0;
+
+    [[nodiscard]] bool operator==(const CloseSilent &) const = default;
+};
+
+/// Neither the connection nor a new one gets an answer: the member is suspect.
+struct MemberSuspect {
+    [[nodiscard]] bool operator==(const MemberSuspect &) const = default;
+};
+
+/// The member answers again.
+struct MemberClear {
+    [[nodiscard]] bool operator==(const MemberClear &) const = default;
+};
+
+/// What to do about silence.
+using SilenceAction = std::variant<ProbeMember, CloseSilent, MemberSuspect, MemberClear>;
+
+/// Settings of a silence detector.
+struct SilenceLimits {
+    /// Bounds of the time after which an answer is overdue.
+    Milliseconds shortest{60};
+    Milliseconds longest{2'000};
+    /// Deviations above the mean that are still usual.
+    double deviations = 8;
+};
+
+/// Watches the exchanges with one member.
+///
+/// An exchange without an answer by its expected time makes its connection suspect; a probe on a new connection decides. One probe runs at
+/// a time.
+class SilenceDetector
+{
+public:
+    explicit SilenceDetector(const SilenceLimits &limits = {})
+        : limits_(limits)
+    {
+    }
+
+    /// An exchange began on \a key; \a extra is time that the request itself is known to need.
+    void began(ConnectionKey key, TimePoint now, Microseconds extra = Microseconds{0});
+
+    /// An answer arrived on \a key.
+    [[nodiscard]] std::vector<SilenceAction> answered(ConnectionKey key, TimePoint now);
+
+    /// The connection is gone.
+    void closed(ConnectionKey key);
+
+    /// The probe got its answer.
+    [[nodiscard]] std::vector<SilenceAction> probeAnswered(TimePoint now);
+
+    /// The probe failed or got no answer in overdueAfter().
+    [[nodiscard]] std::vector<SilenceAction> probeFailed(TimePoint now);
+
+    /// Finds overdue exchanges; to be called at nextWake().
+    [[nodiscard]] std::vector<SilenceAction> wake(TimePoint now);
+
+    /// When the next exchange becomes overdue; nothing while a probe runs.
+    [[nodiscard]] std::optional<TimePoint> nextWake() const noexcept;
+
+    /// Time after which an answer is overdue.
+    [[nodiscard]] Microseconds overdueAfter() const noexcept;
+
+    [[nodiscard]] bool memberSuspect() const noexcept
+    {
+        return memberSuspect_;
+    }
+
+private:
+    struct Exchange {
+        ConnectionKey key = 0;
+        TimePoint began;
+        TimePoint overdueAt;
+    };
+
+    SilenceLimits limits_;
+    /// Smoothed answer time and deviation, in microseconds.
+    double mean_ = 0;
+    double deviation_ = 0;
+    bool observed_ = false;
+    /// Exchanges without an answer, at most one for each connection.
+    std::vector<Exchange> exchanges_;
+    /// When the running probe began; absent while none runs.
+    std::optional<TimePoint> probeBegan_;
+    /// No probe before this time while the member is suspect.
+    TimePoint nextProbe_;
+    bool memberSuspect_ = false;
+};
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/requests/deadline.h
@@ -0,0 +1,53 @@
+// Windows carried over hops: each hop passes on what remains, less the time of the way back.
+#pragma once
+
+#include "base/time.h"
+#include "requests/fwd.h"
+#include "requests/impl/servicetime.h"
+
+namespace cardamomstep {
+
+/// A measured allowance for one hop between two processes.
+///
+/// Clocks of two processes are never compared: a hop carries the remaining time, and the receiver counts it from the arrival.
+class HopMargin
+{
+public:
+    /// Shortest allowance, for scheduling at both ends.
+    static constexpr Microseconds least{500};
+
+    explicit HopMargin(Microseconds first = Microseconds{4'000}) noexcept
+        : trip_(first)
+    {
+    }
+
+    /// Takes in the measured time of a hop there and back, without the work at the far end.
+    void observe(Microseconds roundTrip) noexcept
+    {
+        trip_.observe(roundTrip);
+    }
+
+    /// Time to keep back from the window: there and back, with a margin.
+    [[nodiscard]] Microseconds allowance() const noexcept
+    {
+        const auto margin = trip_.withMargin(2);
+        return margin < least ? least : margin;
+    }
+
+private:
+    ServiceTime trip_;
+};
+
+/// The deadline of a request that arrived at \a arrived with \a window.
+[[nodiscard]] constexpr TimePoint deadlineOf(TimePoint arrived, Milliseconds window) noexcept
+{
+    return arrived + window;
+}
+
+/// The window to send along over a hop; zero means that the hop is no longer worth it.
+[[nodiscard]] inline Milliseconds windowOverHop(TimePoint deadline, TimePoint now, const HopMargin &margin) noexcept
+{
+    return wholeMilliseconds(deadline - now - margin.allowance());
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/requests/fwd.h
@@ -0,0 +1,16 @@
+// Forward declarations of the requests slice.
+#pragma once
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+enum class Lane : std::uint8_t;
+struct AdmissionRequest;
+class AdmissionQueue;
+class HopMargin;
+class RetryBudget;
+class WriteAttempt;
+class TransactionRegistry;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/requests/impl/servicetime.h
@@ -0,0 +1,57 @@
+// A running estimate of how long an exchange takes: smoothed mean and deviation.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+/// Smoothed mean and mean deviation of a duration, as TCP keeps them for its round trip.
+class ServiceTime
+{
+public:
+    ServiceTime() = default;
+
+    /// Starts from \a first until something is measured.
+    explicit ServiceTime(Microseconds first) noexcept
+        : mean_(static_cast<double>(first.count()))
+    {
+    }
+
+    /// Takes in one measured duration.
+    void observe(Microseconds measured) noexcept
+    {
+        const auto value = static_cast<double>(measured.count());
+        if (!observed_) {
+            observed_ = true;
+            mean_ = value;
+            deviation_ = value / 2;
+            return;
+        }
+        const auto distance = value - mean_;
+        mean_ += meanGain * distance;
+        deviation_ += deviationGain * ((distance < 0 ? -distance : distance) - deviation_);
+    }
+
+    [[nodiscard]] Microseconds mean() const noexcept
+    {
+        return Microseconds{static_cast<std::int64_t>(mean_)};
+    }
+
+    /// The mean with \a factor deviations on top.
+    [[nodiscard]] Microseconds withMargin(double factor) const noexcept
+    {
+        return Microseconds{static_cast<std::int64_t>(mean_ + factor * deviation_)};
+    }
+
+private:
+    static constexpr double meanGain = 1.0 / 16;
+    static constexpr double deviationGain = 1.0 / 8;
+
+    double mean_ = 0;
+    double deviation_ = 0;
+    bool observed_ = false;
+};
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/sessions/fwd.h
@@ -0,0 +1,15 @@
+// Forward declarations of the sessions slice.
+#pragma once
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+enum class TokenStanding : std::uint8_t;
+class SessionToken;
+class FreshnessHistory;
+struct ReadNeed;
+class ReadPlan;
+class ReadRouter;
+
+} // namespace cardamomstep
