--- /dev/null
+++ b/src/records/catalog.h
@@ -0,0 +1,117 @@
+// All configuration that a proxy knows, as an immutable snapshot for the data path.
+#pragma once
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "records/kind.h"
+#include "records/record.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cardamomstep {
+
+/// A change of one record, as the store's watch or another proxy reports it.
+struct RecordChange {
+    RecordKey key;
+    /// Store version of the change; for a deletion, the revision that deleted the record.
+    std::uint64_t version = 0;
+    /// The record afterwards; null when it was deleted.
+    std::shared_ptr<const Record> record;
+};
+
+/// A record in a Catalog.
+struct CatalogEntry {
+    std::uint64_t version = 0;
+    std::shared_ptr<const Record> record;
+};
+
+/// An immutable set of records by key, each with its store version.
+///
+/// A change is taken only when its version is above the known one of its key, deletions included; so the catalog never goes back,
+/// in whatever order changes arrive. Shared by pointer: a reader keeps its snapshot while newer ones are made.
+///
+/// Example:
+/// \code
+/// std::shared_ptr<const Catalog> catalog = Catalog::fromList(changes, revision);
+/// catalog = catalog->with({change});
+/// const auto group = catalog->groupFor(service, key);
+/// \endcode
+class Catalog
+{
+public:
+    /// An empty catalog of revision 0.
+    [[nodiscard]] static std::shared_ptr<const Catalog> empty();
+
+    /// A catalog of a whole list that the store gave at \a revision.
+    [[nodiscard]] static std::shared_ptr<const Catalog> fromList(const std::vector<RecordChange> &records, std::uint64_t revision);
+
+    /// This catalog with \a changes, older ones left out; \a revision is the store's revision that the changes reach up to, or 0 when
+    /// they are single changes with gaps between them.
+    [[nodiscard]] std::shared_ptr<const Catalog> with(const std::vector<RecordChange> &changes, std::uint64_t revision = 0) const;
+
+    /// The whole list of the store at \a revision, merged: newer changes that are known already stay.
+    [[nodiscard]] std::shared_ptr<const Catalog> withList(const std::vector<RecordChange> &records, std::uint64_t revision) const;
+
+    /// True when \a version of \a key would be a change.
+    [[nodiscard]] bool isNews(const RecordKey &key, std::uint64_t version) const;
+
+    /// The group that holds \a key of \a service; the error is ErrorKind::UnknownService.
+    [[nodiscard]] Result<GroupName> groupFor(const ServiceName &service, std::string_view key) const;
+
+    /// The routing intent of \a service; null when there is none. Valid as long as this catalog.
+    [[nodiscard]] const RoutingIntent *intent(const ServiceName &service) const;
+
+    /// The database group \a name; null when no record describes it. Valid as long as this catalog.
+    [[nodiscard]] const DatabaseGroup *group(const GroupName &name) const;
+
+    /// The names of all database groups, sorted.
+    [[nodiscard]] std::vector<GroupName> groupNames() const;
+
+    /// The record of \a key; null when there is none.
+    [[nodiscard]] const CatalogEntry *find(const RecordKey &key) const;
+
+    /// All records by key.
+    [[nodiscard]] const std::map<RecordKey, CatalogEntry> &entries() const noexcept
+    {
+        return entries_;
+    }
+
+    /// The deletions known since the last whole list, by key, with their revisions.
+    [[nodiscard]] const std::map<RecordKey, std::uint64_t> &deletions() const noexcept
+    {
+        return deletions_;
+    }
+
+    /// Every change up to this store revision is contained.
+    [[nodiscard]] std::uint64_t revision() const noexcept
+    {
+        return revision_;
+    }
+
+    /// Revision of the last whole list; deletions at or before it are not known one by one.
+    [[nodiscard]] std::uint64_t listRevision() const noexcept
+    {
+        return listRevision_;
+    }
+
+private:
+    void take(const RecordChange &change);
+    void indexRecord(const RecordKey &key, const CatalogEntry &entry);
+    void unindexRecord(const CatalogEntry &entry);
+
+    std::map<RecordKey, CatalogEntry> entries_;
+    // No key is in both entries_ and deletions_.
+    std::map<RecordKey, std::uint64_t> deletions_;
+    // Point into the records that entries_ holds.
+    std::unordered_map<GroupName, const DatabaseGroup *> groups_;
+    std::unordered_map<ServiceName, const Record *> intents_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t listRevision_ = 0;
+};
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/records/record.h
@@ -0,0 +1,86 @@
+// A record: its envelope and its typed content, read from and written to JSON in every schema version.
+#pragma once
+
+#include "records/configuration.h"
+#include "records/kind.h"
+#include "records/status.h"
+#include "json/checked.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace cardamomstep {
+
+/// Typed content of a record; the alternatives stand in the order of RecordKind.
+using RecordSpec = std::variant<DatabaseGroup, RoutingIntent, StopPlan, GroupStatus, InstanceStatus, PlanStatus, AuditEntry>;
+
+/// Who wrote a version of a record; stored in the same object as the content, so that neither is there without the other.
+struct ChangeMark {
+    /// Name that the operator gave; empty when the system wrote it.
+    std::string who;
+    WallTime at{};
+    /// Drawn by the writer for one change, to find out whether a lost answer's change was accepted.
+    std::string nonce;
+
+    [[nodiscard]] bool operator==(const ChangeMark &) const = default;
+};
+
+/// One record.
+struct Record {
+    RecordName name;
+    /// Form in which it was read and is written again.
+    SchemaVersion schema = SchemaVersion::V1;
+    RecordSpec spec;
+    /// Fields that this release does not know, as the text of a JSON object; they are kept when the record is written again.
+    std::string unknownFields = "{}";
+    ChangeMark change;
+
+    /// The kind, from the content.
+    [[nodiscard]] RecordKind kind() const noexcept
+    {
+        return static_cast<RecordKind>(spec.index());
+    }
+    /// Kind and name.
+    [[nodiscard]] RecordKey key() const
+    {
+        return {kind(), name};
+    }
+    /// Kind and schema version.
+    [[nodiscard]] RecordForm form() const noexcept
+    {
+        return {kind(), schema};
+    }
+
+    [[nodiscard]] bool operator==(const Record &) const = default;
+};
+
+/// A record with its version in the store.
+struct StoredRecord {
+    Record record;
+    std::uint64_t version = 0;
+
+    [[nodiscard]] bool operator==(const StoredRecord &) const = default;
+};
+
+/// Reads one record; \a fileName is only used in positions.
+///
+/// Faults have the kind ErrorKind::InvalidRecord, ErrorKind::UnsupportedVersion for an unknown schema version, or
+/// ErrorKind::TooLarge; each holds line and key path. Unknown fields are no fault.
+[[nodiscard]] Checked<Record> readRecord(const std::string &fileName, std::string_view text);
+
+/// Reads a text that holds one record or an array of records.
+[[nodiscard]] Checked<std::vector<Record>> readRecords(const std::string &fileName, std::string_view text);
+
+/// \a record as a JSON text in its own schema version.
+[[nodiscard]] std::string writeRecord(const Record &record);
+
+/// \a record as indented JSON, for people.
+[[nodiscard]] std::string writeRecordIndented(const Record &record);
+
+/// The paths of the fields that this release does not know.
+[[nodiscard]] std::vector<std::string> unknownFieldPaths(const Record &record);
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/settings/fwd.h
@@ -0,0 +1,12 @@
+// Forward declarations of the settings slice.
+#pragma once
+
+#include <cstdint>
+
+namespace cardamomstep {
+
+enum class LogLevel : std::uint8_t;
+enum class LogFormat : std::uint8_t;
+struct Settings;
+
+} // namespace cardamomstep
