--- /dev/null
+++ b/src/base/quorum.h
@@ -0,0 +1,14 @@
+// Majorities.
+#pragma once
+
+#include <cstddef>
+
+namespace cardamomstep {
+
+/// Smallest number of members that is more than half of \a members.
+[[nodiscard]] constexpr std::size_t majorityOf(std::size_t members) noexcept
+{
+    return members / 2 + 1;
+}
+
+} // namespace cardamomstep
--- a/src/groups/member.h
+++ b/src/groups/member.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/quorum.h"
 
 #include <compare>
 #include <cstddef>
@@ -17,10 +18,4 @@
     [[nodiscard]] bool operator==(const GroupMember &) const = default;
 };
 
-/// Smallest number of members that is more than half of \a members.
-[[nodiscard]] constexpr std::size_t majorityOf(std::size_t members) noexcept
-{
-    return members / 2 + 1;
-}
-
 } // namespace cardamomstep
--- a/src/records/checks.h
+++ b/src/records/checks.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/quorum.h"
 #include "base/result.h"
 #include "records/fwd.h"
 
--- a/src/records/configuration.h
+++ b/src/records/configuration.h
@@ -18,18 +18,18 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Milliseconds>;
 
 /// One member of a database group.
-struct GroupMember {
+struct MemberSpec {
     MemberName name;
     FailureDomain failureDomain;
     Address address;
 
-    [[nodiscard]] bool operator==(const GroupMember &) const = default;
+    [[nodiscard]] bool operator==(const MemberSpec &) const = default;
 };
 
 /// A database group; its record's name is the group's name.
 struct DatabaseGroup {
     /// One or more, with distinct names and addresses.
-    std::vector<GroupMember> members;
+    std::vector<MemberSpec> members;
     /// Most connections to each member, over all proxies.
     std::uint32_t connections = 1;
     /// Statements that each member runs at once; at most `connections`.
--- a/src/requests/attempt.h
+++ b/src/requests/attempt.h
@@ -17,13 +17,13 @@
 namespace cardamomstep {
 
 /// The group's primary, as the groups slice sees it.
-struct PrimaryView {
+struct LeaderView {
     /// Term of the primary; number 0 when there is none.
     Term term;
     /// True once a majority of members has the start entry of this term in its log.
     bool startCovered = false;
 
-    [[nodiscard]] bool operator==(const PrimaryView &) const = default;
+    [[nodiscard]] bool operator==(const LeaderView &) const = default;
 };
 
 /// Send the request to the primary of \a term.
@@ -111,7 +111,7 @@
     }
 
     /// Begins; \a view may have no primary yet.
-    [[nodiscard]] WriteStep start(const PrimaryView &view, TimePoint now);
+    [[nodiscard]] WriteStep start(const LeaderView &view, TimePoint now);
 
     /// The exchange that SendWrite asked for failed.
     [[nodiscard]] WriteStep sendFailed(const LinkFailure &failure, TimePoint now);
@@ -126,7 +126,7 @@
     [[nodiscard]] WriteStep coverageExpected(TimePoint expected, TimePoint now);
 
     /// The group's primary or its coverage changed.
-    [[nodiscard]] WriteStep primaryChanged(const PrimaryView &view, TimePoint now);
+    [[nodiscard]] WriteStep primaryChanged(const LeaderView &view, TimePoint now);
 
     /// A member replied to the outcome question.
     [[nodiscard]] WriteStep outcome(const OutcomeReply &reply, TimePoint now);
@@ -164,7 +164,7 @@
     WriteNeed need_;
     /// Never null.
     RetryBudget *budget_;
-    PrimaryView view_;
+    LeaderView view_;
     /// Term of the newest send.
     Term sentTerm_;
     /// Highest term of a send that may have run; absent while none may have.
