--- /dev/null
+++ b/src/owner/fwd.h
@@ -0,0 +1,14 @@
+// Forward declarations of the owner slice: the shell that carries out the decisions about one database group.
+#pragma once
+
+namespace cardamomstep {
+
+struct GroupOwnerOptions;
+struct GroupEvents;
+class GroupOwner;
+class Waiter;
+class WaitList;
+class ControlWorker;
+class MemberLinks;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/owner/groupowner.cpp
@@ -0,0 +1,114 @@
+// The owner of one database group on this proxy.
+#include "owner/groupowner.h"
+
+#include "owner/impl/groupcore.h"
+#include "owner/impl/outcomeflow.h"
+#include "owner/impl/readflow.h"
+#include "owner/impl/transactionflow.h"
+#include "owner/impl/writeflow.h"
+#include "owner/transactions.h"
+
+#include <utility>
+
+namespace cardamomstep {
+
+GroupOwner::GroupOwner(GroupOwnerOptions options, GroupEvents events, Transactions &transactions)
+    : core_(std::make_shared<impl::GroupCore>(std::move(options), std::move(events)))
+    , transactions_(transactions)
+{
+    core_->start();
+}
+
+GroupOwner::~GroupOwner()
+{
+    core_->stop();
+}
+
+Answer GroupOwner::run(const Statement &statement, TimePoint deadline)
+{
+    const auto session = SessionToken::parse(statement.session);
+    if (!session) {
+        return failedAnswer(session.error());
+    }
+    impl::TransactionFlow transaction(*core_, transactions_, statement, *session, deadline);
+    switch (statement.verb) {
+    case Verb::Begin:
+        return transaction.begin();
+    case Verb::Commit:
+        return transaction.commit();
+    case Verb::Rollback:
+        return transaction.rollback();
+    case Verb::Outcome:
+        return impl::OutcomeFlow(*core_, statement, *session, deadline).run();
+    case Verb::Execute:
+        break;
+    }
+    if (!statement.transaction.empty()) {
+        return transaction.execute();
+    }
+    if (statement.access == Access::Write) {
+        return impl::WriteFlow(*core_, statement, *session, deadline).run();
+    }
+    return impl::ReadFlow(*core_, statement, *session, deadline).run();
+}
+
+void GroupOwner::setHolders(const std::vector<InstanceName> &holders, unsigned rank)
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->setHolders(holders);
+    core_->perform(core_->monitor.setRank(rank, steadyNow()));
+}
+
+void GroupOwner::setPolicy(const GroupPolicy &policy)
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->perform(core_->monitor.setPolicy(policy, steadyNow()));
+}
+
+void GroupOwner::onPeerSighting(const InstanceName &peer, const PeerSighting &sighting)
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->perform(core_->monitor.onPeerSighting(peer, sighting, steadyNow()));
+}
+
+void GroupOwner::hold(Milliseconds span)
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->heldUntil = span.count() > 0 ? steadyNow() + span : TimePoint{};
+    core_->primaryWaiters.signalAll();
+}
+
+void GroupOwner::requestSwitchover(const MemberName &member)
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->perform(core_->monitor.requestSwitchover(member, steadyNow()));
+}
+
+PeerSighting GroupOwner::sighting() const
+{
+    const std::lock_guard lock(core_->mutex);
+    return core_->monitor.sighting(steadyNow());
+}
+
+GroupSnapshot GroupOwner::snapshot() const
+{
+    const std::lock_guard lock(core_->mutex);
+    GroupSnapshot snapshot;
+    snapshot.group = core_->options.group;
+    snapshot.primary = core_->monitor.primary();
+    for (const auto &member : core_->monitor.members()) {
+        if (const auto report = core_->monitor.lastReport(member.name)) {
+            snapshot.reports.push_back(*report);
+        }
+    }
+    for (const auto lane : {Lane::Primary, Lane::Replica}) {
+        snapshot.waiting += core_->admission.waiting(lane);
+        snapshot.running += core_->admission.running(lane);
+    }
+    for (const auto &[name, member] : core_->members) {
+        snapshot.openConnections += member->links.open();
+    }
+    return snapshot;
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/owner/impl/groupcore.cpp
@@ -0,0 +1,394 @@
+// Feeds the decision machines of one group and carries out their actions.
+#include "owner/impl/groupcore.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep::impl {
+
+namespace {
+
+constexpr Milliseconds checkTimeout{150};
+constexpr Milliseconds shareExpiry{5'000};
+constexpr Milliseconds longestTick{100};
+constexpr std::size_t keptRounds = 64;
+
+std::vector<MemberName> namesOf(const std::vector<GroupMember> &members)
+{
+    std::vector<MemberName> names;
+    names.reserve(members.size());
+    for (const auto &member : members) {
+        names.push_back(member.name);
+    }
+    return names;
+}
+
+template<typename... Functions>
+struct Overloaded : Functions... {
+    using Functions::operator()...;
+};
+template<typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+} // namespace
+
+GroupCore::GroupCore(GroupOwnerOptions groupOptions, GroupEvents groupEvents)
+    : options(std::move(groupOptions))
+    , events(std::move(groupEvents))
+    , monitor(options.members, options.rank, options.policy, options.seed, steadyNow())
+    , acks(namesOf(options.members))
+    , rounds(namesOf(options.members))
+    , share(options.identity.instance, options.connections, shareExpiry)
+    , random(options.seed ^ stableHash(options.group.text()))
+{
+    router.setMembers(namesOf(options.members));
+    admission.setShares(options.shares);
+    for (const auto &member : options.members) {
+        members.emplace(member.name, std::make_unique<Member>(member, options.identity));
+    }
+}
+
+void GroupCore::start()
+{
+    const std::lock_guard lock(mutex);
+    setHolders(options.holders);
+    perform(monitor.tick(steadyNow()));
+    ticker_ = std::thread([self = shared_from_this()] { self->runTicker(); });
+}
+
+void GroupCore::stop()
+{
+    {
+        const std::lock_guard lock(mutex);
+        if (stopping_) {
+            return;
+        }
+        stopping_ = true;
+    }
+    tickerCondition_.notify_one();
+    if (ticker_.joinable()) {
+        ticker_.join();
+    }
+    // The workers join here; they take the lock for their last result, so it must not be held.
+    std::map<MemberName, std::unique_ptr<Member>> ended;
+    {
+        const std::lock_guard lock(mutex);
+        ended.swap(members);
+    }
+}
+
+// Actions of the monitor
+
+void GroupCore::perform(const GroupActions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit(Overloaded{
+                       [this](const SendReport &send) { sendReport(send); },
+                       [this](const SendAdopt &send) { sendOrder(send.member, OrderKind::Adopt, send.term, nullptr, send.timeout); },
+                       [this](const SendLead &send) { sendOrder(send.member, OrderKind::Lead, send.term, nullptr, send.timeout); },
+                       [this](const SendFollow &send) { sendOrder(send.member, OrderKind::Follow, send.term, &send, send.timeout); },
+                       [this](const AskPeers & /*ask*/) { events.askPeers(options.group); },
+                       [this](const HoldWrites &hold) {
+                           heldUntil = hold.until;
+                           events.holdPeers(options.group, wholeMilliseconds(hold.until - steadyNow()));
+                       },
+                       [this](const ReleaseWrites & /*release*/) {
+                           heldUntil = TimePoint{};
+                           primaryWaiters.signalAll();
+                           events.holdPeers(options.group, Milliseconds{0});
+                       },
+                       [this](const PrimaryChanged &change) { onPrimaryChanged(change); },
+                       [this](const Note &note) {
+                           events.note(options.group, note);
+                           primaryWaiters.signalAll();
+                       },
+                   },
+                   action);
+    }
+    tickerDue_ = true;
+    tickerCondition_.notify_one();
+}
+
+void GroupCore::sendReport(const SendReport &action)
+{
+    auto *member = find(action.member);
+    if (member == nullptr) {
+        return;
+    }
+    const auto seen = monitor.lastReport(action.member);
+    (void)member->watcher.add([self = weak_from_this(), action, seen](HttpControlLink &link) {
+        const auto sentAt = steadyNow();
+        const bool waits = seen && action.wait.count() > 0;
+        const auto result = waits ? link.reportAfter(*seen, action.wait, action.timeout) : link.report(action.timeout);
+        const auto core = self.lock();
+        if (!core) {
+            return;
+        }
+        const std::lock_guard lock(core->mutex);
+        const auto now = steadyNow();
+        if (const auto *report = std::get_if<MemberReport>(&result)) {
+            core->onState(action.member, report->log, report->adopted, sentAt);
+            core->router.report(*report, now);
+            core->router.setSuspect(action.member, false);
+            core->perform(core->monitor.onReport(action.member, *report, sentAt, now));
+            core->reportWaiters.signalAll();
+        } else {
+            core->router.setSuspect(action.member, true);
+            core->perform(core->monitor.onLinkFailure(action.member, std::get<LinkFailure>(result), now));
+        }
+    });
+}
+
+void GroupCore::sendOrder(const MemberName &name, OrderKind kind, const Term &term, const SendFollow *follow, Milliseconds timeout)
+{
+    auto *member = find(name);
+    if (member == nullptr) {
+        return;
+    }
+    const auto target = follow != nullptr ? *follow : SendFollow{};
+    (void)member->orders.add([self = weak_from_this(), name, kind, term, target, timeout](HttpControlLink &link) {
+        const auto sentAt = steadyNow();
+        const auto result = kind == OrderKind::Adopt ? link.adopt(term, timeout)
+            : kind == OrderKind::Lead                ? link.lead(term, timeout)
+                                                     : link.follow(term, target.primary, target.address, timeout);
+        const auto core = self.lock();
+        if (!core) {
+            return;
+        }
+        const std::lock_guard lock(core->mutex);
+        const auto now = steadyNow();
+        if (const auto *reply = std::get_if<TermReply>(&result)) {
+            core->onState(name, reply->report.log, reply->report.adopted, sentAt);
+            core->router.report(reply->report, now);
+            core->perform(core->monitor.onOrderReply(name, kind, term, *reply, sentAt, now));
+        } else {
+            core->perform(core->monitor.onOrderFailure(name, kind, term, std::get<LinkFailure>(result), now));
+        }
+    });
+}
+
+void GroupCore::onPrimaryChanged(const PrimaryChanged &change)
+{
+    router.setPrimary(change.member);
+    rounds.setPrimary(change.member, change.term);
+    refreshSlots();
+    events.primaryChanged(options.group, change);
+    primaryWaiters.signalAll();
+    pumpRounds();
+}
+
+void GroupCore::onState(const MemberName &member, const Mark &log, const Term &adopted, TimePoint sentAt)
+{
+    rounds.onState(member, adopted, log, sentAt);
+    if (acks.onState(member, log, adopted)) {
+        coverageWaiters.signalAll();
+    }
+    pumpRounds();
+}
+
+// Read checks
+
+void GroupCore::pumpRounds()
+{
+    const auto now = steadyNow();
+    while (const auto result = rounds.takeResult(now)) {
+        if (result->legitimate) {
+            router.confirm(roundBegan_[result->round], result->readMark);
+        }
+        roundResults_[result->round] = *result;
+        roundBegan_.erase(result->round);
+        roundWaiters.signalAll();
+    }
+    while (roundResults_.size() > keptRounds) {
+        roundResults_.erase(roundResults_.begin());
+    }
+    if (const auto round = rounds.begin(now)) {
+        roundBegan_[*round] = now;
+        sendChecks(*round);
+    }
+}
+
+void GroupCore::sendChecks(RoundNumber /*round*/)
+{
+    for (auto &[name, member] : members) {
+        (void)member->orders.add([self = weak_from_this(), name = name](HttpControlLink &link) {
+            const auto sentAt = steadyNow();
+            const auto result = link.report(checkTimeout);
+            const auto core = self.lock();
+            const auto *report = std::get_if<MemberReport>(&result);
+            if (!core || report == nullptr) {
+                return;
+            }
+            const std::lock_guard lock(core->mutex);
+            core->router.report(*report, steadyNow());
+            core->onState(name, report->log, report->adopted, sentAt);
+        });
+    }
+}
+
+std::optional<RoundResult> GroupCore::confirmPrimary(std::unique_lock<std::mutex> &lock, TimePoint deadline)
+{
+    const auto round = rounds.join(steadyNow());
+    pumpRounds();
+    Waiter waiter;
+    const WaitList::Entry entry(roundWaiters, waiter);
+    for (;;) {
+        const auto found = roundResults_.find(round);
+        if (found != roundResults_.end()) {
+            return found->second;
+        }
+        if (steadyNow() >= deadline || stopping_) {
+            return std::nullopt;
+        }
+        waiter.wait(lock, deadline);
+    }
+}
+
+// Slots and connections
+
+void GroupCore::setHolders(const std::vector<InstanceName> &holders)
+{
+    share.setHolders(holders, steadyNow());
+    refreshSlots();
+}
+
+void GroupCore::refreshSlots()
+{
+    const auto now = steadyNow();
+    const auto allowed = std::max(1U, share.allowed(now));
+    const auto view = monitor.primary();
+    std::uint32_t replicaSlots = 0;
+    for (auto &[name, member] : members) {
+        member->links.setAllowed(allowed, now);
+        const bool isPrimary = view && view->member == name;
+        replicaSlots += isPrimary ? 0 : allowed;
+    }
+    apply(admission.setSlots(Lane::Primary, allowed, now));
+    apply(admission.setSlots(Lane::Replica, std::max(1U, replicaSlots), now));
+}
+
+void GroupCore::apply(const std::vector<AdmissionAction> &actions)
+{
+    for (const auto &action : actions) {
+        const auto ticket = std::visit([](const auto &decided) { return decided.ticket; }, action);
+        const auto found = tickets_.find(ticket);
+        if (found == tickets_.end()) {
+            continue;
+        }
+        if (const auto *refused = std::get_if<Refused>(&action)) {
+            found->second.refusal = refused->error;
+        } else {
+            found->second.admitted = true;
+        }
+        found->second.waiter->signal();
+    }
+}
+
+Result<std::uint64_t> GroupCore::admit(std::unique_lock<std::mutex> &lock, Lane lane, const ServiceName &service, TimePoint deadline)
+{
+    const auto ticket = nextTicket_++;
+    Waiter waiter;
+    tickets_[ticket].waiter = &waiter;
+    apply(admission.request({ticket, lane, service, deadline}, steadyNow()));
+    tickerDue_ = true;
+    tickerCondition_.notify_one();
+    for (;;) {
+        auto &state = tickets_[ticket];
+        if (state.refusal) {
+            auto error = *state.refusal;
+            tickets_.erase(ticket);
+            return error;
+        }
+        if (state.admitted) {
+            tickets_.erase(ticket);
+            return ticket;
+        }
+        if (!waiter.wait(lock, deadline)) {
+            apply(admission.wake(steadyNow()));
+        }
+        if (steadyNow() > deadline && !tickets_[ticket].refusal && !tickets_[ticket].admitted) {
+            apply(admission.cancel(ticket, steadyNow()));
+            tickets_.erase(ticket);
+            return Error{ErrorKind::Overloaded, "no slot came free within the window"};
+        }
+    }
+}
+
+void GroupCore::finished(std::uint64_t ticket)
+{
+    apply(admission.finished(ticket, steadyNow()));
+}
+
+bool GroupCore::waitReleased(std::unique_lock<std::mutex> &lock, TimePoint deadline)
+{
+    Waiter waiter;
+    const WaitList::Entry entry(primaryWaiters, waiter);
+    for (;;) {
+        const auto now = steadyNow();
+        if (now >= heldUntil) {
+            return true;
+        }
+        if (now >= deadline) {
+            return false;
+        }
+        waiter.wait(lock, std::min(deadline, heldUntil));
+    }
+}
+
+LeaderView GroupCore::leader() const
+{
+    const auto view = monitor.primary();
+    if (!view) {
+        return {};
+    }
+    return {view->term, view->confirmed};
+}
+
+GroupCore::Member *GroupCore::find(const MemberName &name)
+{
+    const auto found = members.find(name);
+    return found == members.end() ? nullptr : found->second.get();
+}
+
+std::string GroupCore::nextExchange()
+{
+    return options.identity.instance.text() + "-" + std::to_string(random() >> 32U) + "-" + std::to_string(nextExchange_++);
+}
+
+// The ticker calls the machines when they want to be called.
+
+void GroupCore::runTicker()
+{
+    std::unique_lock lock(mutex);
+    while (!stopping_) {
+        const auto wake = std::chrono::steady_clock::time_point(nextWake().time_since_epoch());
+        tickerCondition_.wait_until(lock, wake, [this] { return stopping_ || tickerDue_; });
+        tickerDue_ = false;
+        const auto now = steadyNow();
+        if (monitor.nextWake() <= now) {
+            const auto actions = monitor.tick(now);
+            perform(actions);
+        }
+        apply(admission.wake(now));
+        pumpRounds();
+        for (auto &[name, member] : members) {
+            member->links.wake(now);
+        }
+    }
+}
+
+TimePoint GroupCore::nextWake() const
+{
+    auto wake = std::min(monitor.nextWake(), steadyNow() + longestTick);
+    if (const auto due = rounds.nextWake()) {
+        wake = std::min(wake, *due);
+    }
+    if (const auto due = admission.nextWake()) {
+        wake = std::min(wake, *due);
+    }
+    return wake;
+}
+
+} // namespace cardamomstep::impl
--- /dev/null
+++ b/src/owner/impl/readflow.cpp
@@ -0,0 +1,154 @@
+// Carries one read from its arrival to its verified answer.
+#include "owner/impl/readflow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep::impl {
+
+namespace {
+
+/// Time to wait for news of a primary before a confirmation is tried again.
+constexpr Milliseconds confirmPause{40};
+
+} // namespace
+
+ReadFlow::ReadFlow(GroupCore &core, const Statement &statement, SessionToken session, TimePoint deadline)
+    : core_(core)
+    , statement_(statement)
+    , session_(std::move(session))
+    , arrived_(steadyNow())
+    , deadline_(deadline)
+    , lock_(core.mutex)
+{
+}
+
+Answer ReadFlow::run()
+{
+    if (const auto error = checkToken()) {
+        return failedAnswer(*error);
+    }
+    ReadPlan plan{{session_.find(core_.options.group), statement_.acceptedAge, arrived_, deadline_}};
+    for (;;) {
+        const auto step = core_.router.route(plan, steadyNow());
+        std::optional<Answer> answer;
+        if (const auto *give = std::get_if<GiveUpRead>(&step)) {
+            return failedAnswer(give->error);
+        }
+        if (const auto *ask = std::get_if<AskMember>(&step)) {
+            answer = performAsk(plan, *ask);
+        } else if (const auto *await = std::get_if<AwaitReplica>(&step)) {
+            performAwait(await->until);
+        } else {
+            answer = performConfirm();
+        }
+        if (answer) {
+            return *answer;
+        }
+        if (steadyNow() >= deadline_) {
+            return failedAnswer(Error{ErrorKind::NotFresh, "no member answered within the window"}.comingBackAfter(comeBackSoon));
+        }
+    }
+}
+
+std::optional<Error> ReadFlow::checkToken()
+{
+    const auto mark = session_.find(core_.options.group);
+    if (!mark || checkAgainst(*mark, core_.router.highestSeen(), std::nullopt) == TokenStanding::Reached) {
+        return std::nullopt;
+    }
+    const auto result = core_.confirmPrimary(lock_, deadline_);
+    if (!result || !result->legitimate) {
+        return std::nullopt;
+    }
+    if (checkAgainst(*mark, core_.router.highestSeen(), result->readMark) != TokenStanding::Ahead) {
+        return std::nullopt;
+    }
+    return Error{ErrorKind::TokenAhead, "the session token names a position that the group never reached"};
+}
+
+std::optional<Answer> ReadFlow::performConfirm()
+{
+    const auto result = core_.confirmPrimary(lock_, deadline_);
+    if (result && result->legitimate) {
+        return std::nullopt;
+    }
+    const auto now = steadyNow();
+    if (now + confirmPause >= deadline_) {
+        return noPrimary();
+    }
+    Waiter waiter;
+    const WaitList::Entry entry(core_.primaryWaiters, waiter);
+    waiter.wait(lock_, now + confirmPause);
+    return std::nullopt;
+}
+
+std::optional<Answer> ReadFlow::performAsk(ReadPlan &plan, const AskMember &ask)
+{
+    const auto lane = ask.isPrimary ? Lane::Primary : Lane::Replica;
+    const auto ticket = core_.admit(lock_, lane, statement_.service, deadline_);
+    if (!ticket) {
+        return failedAnswer(ticket.error());
+    }
+    auto *member = core_.find(ask.member);
+    if (member == nullptr) {
+        core_.finished(*ticket);
+        core_.router.failed(plan, ask.member);
+        return std::nullopt;
+    }
+    const auto lease = member->links.take(lock_, deadline_);
+    if (!lease) {
+        core_.finished(*ticket);
+        core_.router.failed(plan, ask.member);
+        return std::nullopt;
+    }
+    auto call = callFor(core_, statement_, core_.leader().term);
+    call.write = false;
+    call.needsPrimary = ask.isPrimary;
+    const auto result = exchange(
+        core_, lock_, ask.member, *lease, deadline_, [&call](auto &link, Milliseconds timeout) { return link.execute(call, timeout); });
+    member->links.giveBack(*lease, steadyNow());
+    core_.finished(*ticket);
+    const auto *reply = std::get_if<MemberReply>(&result);
+    if (reply == nullptr) {
+        core_.router.failed(plan, ask.member);
+        return std::nullopt;
+    }
+    return judge(plan, ask, *reply);
+}
+
+std::optional<Answer> ReadFlow::judge(ReadPlan &plan, const AskMember &ask, const MemberReply &reply)
+{
+    if (reply.refusal == Refusal::StatementFailed) {
+        return failedAnswer(errorFor(*reply.refusal, reply.description));
+    }
+    if (reply.refusal) {
+        core_.router.failed(plan, ask.member);
+        return std::nullopt;
+    }
+    if (!core_.router.verify(plan, ask.member, reply.mark, steadyNow())) {
+        return std::nullopt;
+    }
+    Answer answer;
+    answer.rows = reply.rows;
+    answer.rowCount = reply.rowCount;
+    answer.servedBy = ask.member;
+    answer.fromReplica = !ask.isPrimary;
+    answer.mark = reply.mark;
+    answer.session = statement_.session;
+    return answer;
+}
+
+void ReadFlow::performAwait(TimePoint until)
+{
+    Waiter waiter;
+    const WaitList::Entry entry(core_.reportWaiters, waiter);
+    waiter.wait(lock_, std::min(until, deadline_));
+}
+
+Answer ReadFlow::noPrimary() const
+{
+    return failedAnswer(Error{ErrorKind::NoPrimary, "no primary could be confirmed within the window"}.comingBackAfter(comeBackSoon));
+}
+
+} // namespace cardamomstep::impl
--- /dev/null
+++ b/src/owner/impl/transactionflow.cpp
@@ -0,0 +1,213 @@
+// Carries the statements of transactions.
+#include "owner/impl/transactionflow.h"
+
+#include "owner/impl/writeflow.h"
+
+#include <utility>
+
+namespace cardamomstep::impl {
+
+namespace {
+
+Answer aborted(const std::string &why)
+{
+    return failedAnswer(Error{ErrorKind::TransactionAborted, why}.comingBackAfter(comeBackSoon));
+}
+
+} // namespace
+
+TransactionFlow::TransactionFlow(
+    GroupCore &core, Transactions &transactions, const Statement &statement, SessionToken session, TimePoint deadline)
+    : core_(core)
+    , transactions_(transactions)
+    , statement_(statement)
+    , session_(std::move(session))
+    , deadline_(deadline)
+{
+}
+
+// Begin
+
+Answer TransactionFlow::begin()
+{
+    const auto room = session_.checkRoom(core_.options.group);
+    if (!room) {
+        return failedAnswer(room.error());
+    }
+    std::optional<PrimaryView> view;
+    {
+        std::unique_lock lock(core_.mutex);
+        Waiter waiter;
+        const WaitList::Entry entry(core_.primaryWaiters, waiter);
+        bool inTime = core_.waitReleased(lock, deadline_);
+        view = core_.monitor.primary();
+        while (inTime && !view) {
+            inTime = waiter.wait(lock, deadline_);
+            view = core_.monitor.primary();
+        }
+    }
+    if (!view) {
+        return failedAnswer(Error{ErrorKind::NoPrimary, "the group has no primary"}.comingBackAfter(comeBackSoon));
+    }
+    return beginOn(*view);
+}
+
+Answer TransactionFlow::beginOn(const PrimaryView &view)
+{
+    std::unique_lock lock(core_.mutex);
+    const auto ticket = core_.admit(lock, Lane::Primary, statement_.service, deadline_);
+    if (!ticket) {
+        return failedAnswer(ticket.error());
+    }
+    auto *member = core_.find(view.member);
+    const auto lease = member->links.take(lock, deadline_);
+    if (!lease) {
+        core_.finished(*ticket);
+        return failedAnswer(lease.error());
+    }
+    auto call = callFor(core_, statement_, view.term);
+    call.needsPrimary = true;
+    const auto result = exchange(
+        core_, lock, view.member, *lease, deadline_, [&call](auto &link, Milliseconds timeout) { return link.begin(call, timeout); });
+    core_.finished(*ticket);
+    const auto *reply = std::get_if<MemberReply>(&result);
+    if (reply == nullptr || reply->refusal) {
+        member->links.giveBack(*lease, steadyNow());
+        return reply == nullptr ? aborted("the connection broke before the transaction began")
+                                : failedAnswer(errorFor(*reply->refusal, reply->description));
+    }
+    OpenTransaction transaction;
+    transaction.group = core_.options.group;
+    transaction.member = view.member;
+    transaction.memberTransaction = reply->transaction;
+    transaction.term = view.term;
+    const auto id = transactions_.open(transaction, *lease);
+    if (!id) {
+        member->links.close(lease->key);
+        return failedAnswer(id.error());
+    }
+    Answer answer;
+    answer.transaction = *id;
+    answer.servedBy = view.member;
+    answer.session = statement_.session;
+    answer.mark = reply->mark;
+    return answer;
+}
+
+// Statements
+
+Answer TransactionFlow::execute()
+{
+    const auto use = transactions_.begin(statement_.transaction);
+    if (!use) {
+        return failedAnswer(use.error());
+    }
+    std::unique_lock lock(core_.mutex);
+    const auto ticket = core_.admit(lock, Lane::Primary, statement_.service, deadline_);
+    if (!ticket) {
+        transactions_.end(statement_.transaction);
+        return failedAnswer(ticket.error());
+    }
+    auto call = callFor(core_, statement_, use->transaction.term);
+    call.needsPrimary = true;
+    call.requestId = RequestId{};
+    call.transaction = use->transaction.memberTransaction;
+    const auto result = exchange(core_, lock, use->transaction.member, use->lease, deadline_, [&call](auto &link, Milliseconds timeout) {
+        return link.execute(call, timeout);
+    });
+    core_.finished(*ticket);
+    lock.unlock();
+    return finishExecute(*use, result);
+}
+
+Answer TransactionFlow::finishExecute(const Transactions::Use &use, const LinkResult<MemberReply> &result)
+{
+    const auto *reply = std::get_if<MemberReply>(&result);
+    if (reply == nullptr) {
+        transactions_.lost(use);
+        closeConnection(use);
+        return aborted("the connection of the transaction broke");
+    }
+    if (reply->refusal == Refusal::StatementFailed) {
+        transactions_.end(statement_.transaction);
+        return failedAnswer(errorFor(*reply->refusal, reply->description));
+    }
+    if (reply->refusal) {
+        transactions_.lost(use);
+        closeConnection(use);
+        return aborted(reply->description);
+    }
+    transactions_.end(statement_.transaction);
+    Answer answer;
+    answer.rows = reply->rows;
+    answer.rowCount = reply->rowCount;
+    answer.servedBy = use.transaction.member;
+    answer.session = statement_.session;
+    answer.transaction = statement_.transaction;
+    answer.mark = reply->mark;
+    return answer;
+}
+
+// End
+
+Answer TransactionFlow::commit()
+{
+    const auto use = transactions_.begin(statement_.transaction);
+    if (!use) {
+        return failedAnswer(use.error());
+    }
+    WriteFlow flow(core_, statement_, session_, deadline_);
+    auto answer = flow.commit(*use);
+    transactions_.close(statement_.transaction);
+    if (answer.error) {
+        // The transaction may still be open at the member: closing the connection rolls it back.
+        closeConnection(*use);
+    } else {
+        giveBack(*use);
+    }
+    return answer;
+}
+
+Answer TransactionFlow::rollback()
+{
+    const auto use = transactions_.begin(statement_.transaction);
+    if (!use) {
+        return failedAnswer(use.error());
+    }
+    auto call = callFor(core_, statement_, use->transaction.term);
+    call.transaction = use->transaction.memberTransaction;
+    std::unique_lock lock(core_.mutex);
+    const auto result = exchange(core_, lock, use->transaction.member, use->lease, deadline_, [&call](auto &link, Milliseconds timeout) {
+        return link.rollback(call, timeout);
+    });
+    lock.unlock();
+    transactions_.close(statement_.transaction);
+    const auto *reply = std::get_if<MemberReply>(&result);
+    if (reply != nullptr && !reply->refusal) {
+        giveBack(*use);
+    } else {
+        closeConnection(*use);
+    }
+    Answer answer;
+    answer.servedBy = use->transaction.member;
+    answer.session = statement_.session;
+    return answer;
+}
+
+void TransactionFlow::closeConnection(const Transactions::Use &use)
+{
+    const std::lock_guard lock(core_.mutex);
+    if (auto *member = core_.find(use.transaction.member)) {
+        member->links.close(use.lease.key);
+    }
+}
+
+void TransactionFlow::giveBack(const Transactions::Use &use)
+{
+    const std::lock_guard lock(core_.mutex);
+    if (auto *member = core_.find(use.transaction.member)) {
+        member->links.giveBack(use.lease, steadyNow());
+    }
+}
+
+} // namespace cardamomstep::impl
--- /dev/null
+++ b/src/owner/transactions.cpp
@@ -0,0 +1,83 @@
+// The open transactions of one proxy, with the connections that they hold.
+#include "owner/transactions.h"
+
+#include <utility>
+
+namespace cardamomstep {
+
+Transactions::Transactions(InstanceName owner, std::uint64_t seed)
+    : registry_(std::move(owner), seed)
+{
+}
+
+Result<TransactionId> Transactions::open(OpenTransaction transaction, const MemberLinks::Lease &lease)
+{
+    const std::lock_guard lock(mutex_);
+    transaction.connection = nextPin_++;
+    const auto opened = registry_.open(std::move(transaction), steadyNow());
+    if (!opened) {
+        return opened.error();
+    }
+    pinned_[opened->id] = {*opened, lease};
+    return opened->id;
+}
+
+Result<Transactions::Use> Transactions::begin(const TransactionId &id)
+{
+    const std::lock_guard lock(mutex_);
+    const auto begun = registry_.beginStatement(id, steadyNow());
+    if (!begun) {
+        return begun.error();
+    }
+    return Use{*begun, pinned_.at(id).lease};
+}
+
+void Transactions::end(const TransactionId &id)
+{
+    const std::lock_guard lock(mutex_);
+    registry_.endStatement(id, steadyNow());
+}
+
+void Transactions::close(const TransactionId &id)
+{
+    const std::lock_guard lock(mutex_);
+    registry_.close(id);
+    pinned_.erase(id);
+}
+
+void Transactions::lost(const Use &use)
+{
+    const std::lock_guard lock(mutex_);
+    (void)registry_.connectionLost(use.transaction.connection);
+    pinned_.erase(use.transaction.id);
+}
+
+std::vector<Transactions::Use> Transactions::expire()
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<Use> expired;
+    for (const auto &ended : registry_.wake(steadyNow())) {
+        const auto found = pinned_.find(ended.id);
+        if (found == pinned_.end()) {
+            continue;
+        }
+        expired.push_back({found->second.transaction, found->second.lease});
+        pinned_.erase(found);
+    }
+    return expired;
+}
+
+std::optional<GroupName> Transactions::groupOf(const TransactionId &id)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = pinned_.find(id);
+    return found == pinned_.end() ? std::nullopt : std::optional<GroupName>(found->second.transaction.group);
+}
+
+std::size_t Transactions::size()
+{
+    const std::lock_guard lock(mutex_);
+    return pinned_.size();
+}
+
+} // namespace cardamomstep
--- a/src/records/checks.h
+++ b/src/records/checks.h
@@ -27,10 +27,4 @@
 /// other one waits; all proxies with the same catalog agree on which. Times are not looked at.
 [[nodiscard]] std::vector<MemberName> leavingMembers(const Catalog &catalog, const GroupName &group);
 
-/// Fewest of \a members that are a majority.
-[[nodiscard]] constexpr std::size_t majorityOf(std::size_t members) noexcept
-{
-    return members / 2 + 1;
-}
-
 } // namespace cardamomstep
