Located JSON reading and settings

Faults in a text that a person wrote come all at once, each with file, line and key path; so far only the headers stood. Ruled out: a parser of our own for positions; the library's events over an input that counts lines give the same.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -3,3 +3,9 @@
 
 cardamomstep_library(http base cxxtools-http cxxtools Threads::Threads)
 cardamomstep_test(http)
+
+cardamomstep_library(json base)
+cardamomstep_test(json)
+
+cardamomstep_library(settings json http)
+cardamomstep_test(settings)
--- a/src/json/located.h
+++ b/src/json/located.h
@@ -37,7 +37,7 @@
     /// The line of \a path; of its nearest known parent when the path is not in the text.
     [[nodiscard]] std::uint32_t line(std::string_view path) const;
 
-    /// Notes that \a path stands on \a line; the first note of a path stays.
+    /// Notes that \a path stands on \a line; the last note of a path counts, as the last of duplicate keys does.
     void add(const std::string &path, std::uint32_t line);
 
     /// The keys that stand twice.
