--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -4,7 +4,6 @@
 cardamomstep_library(http base cxxtools-http cxxtools Threads::Threads)
 cardamomstep_test(http)
 
-<<<<<<< HEAD
 cardamomstep_library(members base http)
 
 
@@ -13,10 +12,8 @@
 target_include_directories(peerwire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/src/peer/generated)
 target_link_libraries(peerwire PUBLIC PkgConfig::GRPC PkgConfig::PROTOBUF)
 cardamomstep_library(peer base peerwire)
-=======
 cardamomstep_library(json base)
 cardamomstep_test(json)
 
 cardamomstep_library(settings json http)
 cardamomstep_test(settings)
->>>>>>> control
