--- /dev/null
+++ b/src/entry/callerapi.cpp
@@ -0,0 +1,112 @@
+// The callers' HTTP interface.
+#include "entry/callerapi.h"
+
+#include <utility>
+
+namespace cardamomstep::entry {
+
+namespace {
+
+constexpr Milliseconds comeBackSoon{100};
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+/// Counts a statement for as long as this lives.
+class InFlight
+{
+public:
+    explicit InFlight(std::atomic<std::uint32_t> &count)
+        : count_(count)
+        , before_(count++)
+    {
+    }
+    InFlight(const InFlight &) = delete;
+    InFlight &operator=(const InFlight &) = delete;
+    ~InFlight()
+    {
+        --count_;
+    }
+
+    /// Statements that ran when this one came.
+    [[nodiscard]] std::uint32_t before() const noexcept
+    {
+        return before_;
+    }
+
+private:
+    std::atomic<std::uint32_t> &count_;
+    std::uint32_t before_;
+};
+
+http::Response page(int status, const std::string &type, std::string body)
+{
+    http::Response response;
+    response.status = status;
+    response.headers["content-type"] = type;
+    response.body = std::move(body);
+    return response;
+}
+
+bool needsRequestId(const Statement &statement)
+{
+    const bool write = statement.verb == Verb::Execute && statement.access == Access::Write && statement.transaction.empty();
+    return write || statement.verb == Verb::Commit;
+}
+
+} // namespace
+
+CallerApi::CallerApi(CallerServices services, const CallerLimits &limits, std::uint32_t maxInFlight)
+    : services_(std::move(services))
+    , limits_(limits)
+    , maxInFlight_(maxInFlight)
+{
+}
+
+http::Response CallerApi::handle(const http::Request &request)
+{
+    if (request.path == "/health") {
+        return page(statusOk, "application/json", R"({"status":"alive"})");
+    }
+    if (request.path == "/ready") {
+        const bool ready = !draining_ && services_.ready();
+        return page(
+            ready ? statusOk : statusUnavailable, "application/json", ready ? R"({"status":"ready"})" : R"({"status":"not-ready"})");
+    }
+    if (request.path == "/metrics") {
+        return page(statusOk, "text/plain", services_.metrics());
+    }
+    return runStatement(request);
+}
+
+http::Response CallerApi::runStatement(const http::Request &request)
+{
+    const auto arrived = steadyNow();
+    auto statement = readStatement(request, limits_);
+    if (!statement) {
+        return writeAnswer(failedAnswer(statement.error()), RequestId{});
+    }
+    if (needsRequestId(*statement) && statement->requestId.empty()) {
+        statement->requestId = services_.drawRequestId();
+    }
+    auto answer = admitted(*statement, arrived);
+    if (answer.session.empty()) {
+        answer.session = statement->session;
+    }
+    services_.finished(*statement, answer, steadyNow() - arrived);
+    return writeAnswer(answer, statement->requestId);
+}
+
+Answer CallerApi::admitted(Statement &statement, TimePoint arrived)
+{
+    const InFlight mine(inFlight_);
+    const bool opensNothing = !statement.transaction.empty();
+    if (draining_ && !opensNothing) {
+        return failedAnswer(Error{ErrorKind::Draining, "this proxy is stopping"}.comingBackAfter(Milliseconds{0}));
+    }
+    if (mine.before() >= maxInFlight_) {
+        return failedAnswer(Error{ErrorKind::Overloaded, "too many statements at this proxy"}.comingBackAfter(comeBackSoon));
+    }
+    return services_.run(statement, arrived + statement.window);
+}
+
+} // namespace cardamomstep::entry
--- /dev/null
+++ b/src/entry/dispatcher.cpp
@@ -0,0 +1,195 @@
+// Takes a caller's statement to the proxy that owns its group.
+#include "entry/dispatcher.h"
+
+#include "requests/transactions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep::entry {
+
+namespace {
+
+constexpr Milliseconds connectWithin{150};
+constexpr Milliseconds comeBackSoon{100};
+/// Kept back from the window for the way back to the caller.
+constexpr Microseconds answerMargin{2'000};
+
+/// The answer when a peer took a statement and did not say what became of it.
+Answer lostAtPeer(const Statement &statement, const std::string &why)
+{
+    if (statement.access == Access::Read && statement.verb == Verb::Execute) {
+        return failedAnswer(Error{ErrorKind::PeerUnreachable, why}.comingBackAfter(comeBackSoon));
+    }
+    return failedAnswer(Error{ErrorKind::OutcomeUnknown, why}.comingBackAfter(comeBackSoon));
+}
+
+/// True when the statement may be given to another owner after one took it and fell silent.
+///
+/// Members keep request ids with the effects, so a statement with its id runs at most once however often it arrives.
+bool mayGoToAnotherOwner(const Statement &statement)
+{
+    return statement.verb == Verb::Outcome || (statement.verb == Verb::Execute && statement.transaction.empty());
+}
+
+/// True when a proxy did not run a statement because it does not own the group.
+bool isNotOwner(const Answer &answer)
+{
+    return answer.error && answer.error->kind == ErrorKind::PeerUnreachable;
+}
+
+std::vector<FailureDomain> domainsOf(const DatabaseGroup &group)
+{
+    std::vector<FailureDomain> domains;
+    for (const auto &member : group.members) {
+        domains.push_back(member.failureDomain);
+    }
+    std::sort(domains.begin(), domains.end());
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
+    return domains;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(LiveInstance self, Sources sources, peer::Client &peers, Transactions &transactions)
+    : self_(std::move(self))
+    , sources_(std::move(sources))
+    , peers_(peers)
+    , transactions_(transactions)
+{
+}
+
+Answer Dispatcher::run(Statement statement, TimePoint deadline)
+{
+    const auto view = sources_.view();
+    if (!view.ready) {
+        return failedAnswer(Error{ErrorKind::NotReady, "the configuration is not known yet"}.comingBackAfter(comeBackSoon));
+    }
+    if (!statement.transaction.empty()) {
+        return runInTransaction(statement, view, deadline);
+    }
+    const auto group = groupOf(statement, view);
+    if (!group) {
+        return failedAnswer(group.error());
+    }
+    statement.group = *group;
+    if (!statement.acceptedAge) {
+        const auto *intent = view.catalog->intent(statement.service);
+        statement.acceptedAge = intent == nullptr ? std::nullopt : intent->acceptedAge;
+    }
+    return runAtOwners(statement, view, deadline);
+}
+
+Answer Dispatcher::runForwarded(const Statement &statement, TimePoint deadline)
+{
+    return runLocally(statement, deadline);
+}
+
+Result<GroupName> Dispatcher::groupOf(const Statement &statement, const FleetView &view) const
+{
+    auto group = view.catalog->groupFor(statement.service, statement.key);
+    if (group && view.catalog->group(*group) == nullptr) {
+        return Error{ErrorKind::UnknownGroup, "no record describes the group " + group->text()};
+    }
+    return group;
+}
+
+Answer Dispatcher::runInTransaction(const Statement &statement, const FleetView &view, TimePoint deadline)
+{
+    const auto owner = TransactionRegistry::ownerOf(statement.transaction);
+    if (!owner) {
+        return failedAnswer(Error{ErrorKind::TransactionUnknown, "the transaction id is malformed"});
+    }
+    auto routed = statement;
+    if (!statement.key.empty()) {
+        const auto group = groupOf(statement, view);
+        if (!group) {
+            return failedAnswer(group.error());
+        }
+        routed.group = *group;
+    }
+    if (*owner == self_.name) {
+        return runLocally(routed, deadline);
+    }
+    const auto &instances = view.instances->instances();
+    const auto found = std::find_if(instances.begin(), instances.end(), [&owner](const auto &instance) { return instance.name == *owner; });
+    if (found == instances.end()) {
+        const auto kind = statement.verb == Verb::Commit ? ErrorKind::OutcomeUnknown : ErrorKind::TransactionAborted;
+        return failedAnswer(Error{kind, "the proxy that held the transaction is gone"}.comingBackAfter(comeBackSoon));
+    }
+    const auto result = peers_.execute(found->address, routed, deadline - steadyNow() - answerMargin, connectWithin);
+    if (const auto *answer = std::get_if<Answer>(&result)) {
+        return *answer;
+    }
+    const auto &failure = std::get<peer::Failure>(result);
+    if (failure.notSent || statement.verb != Verb::Commit) {
+        return failedAnswer(Error{ErrorKind::TransactionAborted, failure.description}.comingBackAfter(comeBackSoon));
+    }
+    return lostAtPeer(statement, failure.description);
+}
+
+Answer Dispatcher::runAtOwners(const Statement &statement, const FleetView &view, TimePoint deadline)
+{
+    auto last = failedAnswer(Error{ErrorKind::PeerUnreachable, "no owner of the group is live"}.comingBackAfter(comeBackSoon));
+    bool taken = false;
+    for (const auto *owner : ownersNearFirst(view, statement.group)) {
+        const auto remaining = deadline - steadyNow() - answerMargin;
+        if (remaining <= Microseconds{0}) {
+            break;
+        }
+        if (owner->name == self_.name) {
+            const auto answer = runLocally(statement, deadline);
+            const bool mayHaveRun = taken && answer.ran == Ran::No && statement.access == Access::Write;
+            return mayHaveRun ? lostAtPeer(statement, "an earlier owner may have run the request") : answer;
+        }
+        const auto result = peers_.execute(owner->address, statement, remaining, connectWithin);
+        if (const auto *answer = std::get_if<Answer>(&result)) {
+            if (isNotOwner(*answer)) {
+                last = taken ? last : *answer;
+                continue;
+            }
+            // An owner speaks for itself: an earlier one may have run what this one refused.
+            const bool mayHaveRun = taken && answer->ran == Ran::No && statement.access == Access::Write;
+            return mayHaveRun ? lostAtPeer(statement, "an earlier owner may have run the request") : *answer;
+        }
+        const auto &failure = std::get<peer::Failure>(result);
+        taken = taken || !failure.notSent;
+        last = taken ? lostAtPeer(statement, failure.description)
+                     : failedAnswer(Error{ErrorKind::PeerUnreachable, failure.description}.comingBackAfter(comeBackSoon));
+        if (taken && !mayGoToAnotherOwner(statement)) {
+            break;
+        }
+    }
+    return last;
+}
+
+Answer Dispatcher::runLocally(const Statement &statement, TimePoint deadline)
+{
+    auto group = statement.group;
+    if (!statement.transaction.empty()) {
+        const auto held = transactions_.groupOf(statement.transaction);
+        if (held && !group.empty() && *held != group) {
+            return failedAnswer(Error{ErrorKind::MalformedRequest, "the key lies in another group than the transaction"});
+        }
+        group = held.value_or(group);
+    }
+    const auto owner = sources_.localOwner(group);
+    if (!owner && !statement.transaction.empty()) {
+        return failedAnswer(Error{ErrorKind::TransactionUnknown, "the transaction is not open here"});
+    }
+    if (!owner) {
+        return failedAnswer(Error{ErrorKind::PeerUnreachable, "this proxy does not own the group"}.comingBackAfter(comeBackSoon));
+    }
+    return owner->run(statement, deadline);
+}
+
+std::vector<const LiveInstance *> Dispatcher::ownersNearFirst(const FleetView &view, const GroupName &group) const
+{
+    const auto *record = view.catalog->group(group);
+    auto owners = view.instances->owners(group, domainsOf(*record));
+    std::stable_partition(owners.begin(), owners.end(), [this](const auto *owner) { return owner->domain == self_.domain; });
+    std::stable_partition(owners.begin(), owners.end(), [this](const auto *owner) { return owner->name == self_.name; });
+    return owners;
+}
+
+} // namespace cardamomstep::entry
--- /dev/null
+++ b/src/entry/fwd.h
@@ -0,0 +1,11 @@
+// Forward declarations of the entry slice: the callers' interface.
+#pragma once
+
+namespace cardamomstep::entry {
+
+struct CallerLimits;
+struct FleetView;
+class CallerApi;
+class Dispatcher;
+
+} // namespace cardamomstep::entry
