Groups: failure detection, promotion, coverage and read checks as state machines

A group needs a new primary without a lock of ours and without the store. The monitor watches members' reports, gets a new term adopted by a majority, lets the adopter with the greatest log lead and redirects the rest. Coverage, read rounds, switchover and pacing stand beside it.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -17,3 +17,6 @@
 
 cardamomstep_library(settings json http)
 cardamomstep_test(settings)
+
+cardamomstep_library(groups base)
+cardamomstep_test(groups)
--- a/src/groups/impl/memberwatch.h
+++ b/src/groups/impl/memberwatch.h
@@ -32,12 +32,17 @@
     /// When its log last changed.
     [[nodiscard]] TimePoint movedAt() const noexcept;
 
+    /// The primary's log ends at \a primaryLog: notes since when this member is behind it.
+    void onPrimaryLog(const Mark &primaryLog, TimePoint now) noexcept;
+    /// Since when this member has been behind its primary without moving; none when it is not behind.
+    [[nodiscard]] std::optional<TimePoint> stuckSince() const noexcept;
+
     /// Takes in a report asked for at \a sentAt; one that is older than the known state changes nothing.
     void onState(const MemberReport &report, TimePoint sentAt, TimePoint now);
     /// The member gave a sign of life.
     void onAlive(TimePoint now) noexcept;
-    /// An exchange failed.
-    void onFailure(const LinkFailure &failure, const GroupPolicy &policy, TimePoint now) noexcept;
+    /// An exchange failed; returns when a report may be asked for again.
+    TimePoint onFailure(const LinkFailure &failure, const GroupPolicy &policy, TimePoint now) noexcept;
     /// The observer itself stood still for \a span: silence does not count for that time.
     void forgive(Microseconds span, TimePoint now) noexcept;
 
@@ -55,7 +60,8 @@
     /// True when the next report must come at once rather than wait for a change.
     [[nodiscard]] bool reportAtOnce() const noexcept;
     void reportSent() noexcept;
-    void reportEnded() noexcept;
+    /// The outstanding report ended; the next may be asked for at \a nextAt.
+    void reportEnded(TimePoint nextAt) noexcept;
 
     [[nodiscard]] const std::optional<OutstandingOrder> &order() const noexcept;
     /// True when no order is outstanding and the pause after the last one has passed.
@@ -77,6 +83,7 @@
     TimePoint heardAt_;
     TimePoint movedAt_;
     bool everHeard_ = false;
+    std::optional<TimePoint> behindSince_;
 
     /// Refusals since the last sign of life, at most 2 are counted.
     unsigned refusals_ = 0;
--- a/src/groups/impl/promotion.h
+++ b/src/groups/impl/promotion.h
@@ -17,14 +17,17 @@
 struct PromotionPlan {
     Term term;
     PromotionReason reason = PromotionReason::NoPrimary;
-    /// A member that should not lead and whose adoption counts only where no majority is had without it; may be empty.
+    /// A member that leads only when its log is the longest; may be empty.
     MemberName avoid;
-    /// True when `avoid` must not be asked at all.
+    /// True when `avoid` is left out of the attempt altogether.
     bool skipAvoided = false;
     /// A member to be chosen among equals; may be empty.
     MemberName prefer;
     TimePoint detectedAt;
     TimePoint startedAt;
+    /// Until when replies of further members are waited for although a majority has adopted.
+    TimePoint patientUntil;
+    /// When the attempt is given up.
     TimePoint deadline;
 };
 
@@ -44,15 +47,13 @@
     void onAdopted(const MemberReport &report);
     [[nodiscard]] bool adoptedBy(const MemberName &member) const noexcept;
 
-    /// Chooses the member that is to lead as soon as it can be chosen safely; \a last when no more adoptions are to come.
-    void choose(bool last);
+    /// Chooses the member that is to lead, once that is safe: \a complete when no further adoption is waited for.
+    void choose(bool complete);
     /// The member that is to lead; empty during adoption.
     [[nodiscard]] const MemberName &candidate() const noexcept;
 
 private:
     [[nodiscard]] bool better(const MemberReport &left, const MemberReport &right) const noexcept;
-    [[nodiscard]] const MemberReport *best(bool withAvoided) const noexcept;
-    [[nodiscard]] std::size_t adopters(bool withAvoided) const noexcept;
 
     PromotionPlan plan_;
     std::size_t majority_;
--- a/src/groups/legitimacy.h
+++ b/src/groups/legitimacy.h
@@ -33,10 +33,10 @@
 public:
     explicit LegitimacyRounds(std::vector<MemberName> members, Milliseconds timeout = Milliseconds{150});
 
-    /// Sets the configured members; a round in flight starts over with the next one.
+    /// Sets the configured members; a round in flight fails, its reads join the next one.
     void setMembers(std::vector<MemberName> members);
 
-    /// Sets the primary that rounds are about; a round in flight about another term fails.
+    /// Sets the primary that rounds are about; a round in flight about another one fails. An empty name: none is known.
     void setPrimary(const MemberName &primary, const Term &term);
 
     /// A read arrives: returns the round whose result it waits for.
@@ -46,7 +46,7 @@
     /// to onState().
     [[nodiscard]] std::optional<RoundNumber> begin(TimePoint now);
 
-    /// Takes in the state in any reply to something that was sent at \a sentAt; false states are never counted.
+    /// Takes in the state in any reply to something that was sent at \a sentAt; replies to something older than the round are left out.
     void onState(const MemberName &member, const Term &adopted, const Mark &log, TimePoint sentAt);
 
     /// The result of a round that ended, each once.
@@ -69,9 +69,13 @@
     TimePoint startedAt_;
     /// Reads wait for round current_ + 1.
     bool waiting_ = false;
+    TimePoint waitingSince_;
     /// Members that confirmed the term in this round; each at most once.
     std::vector<MemberName> confirmed_;
+    /// Members that showed a higher term in this round; each at most once.
+    std::vector<MemberName> superseded_;
     std::optional<Mark> primaryLog_;
+    /// Ended rounds that were not taken yet.
     std::vector<RoundResult> results_;
 };
 
--- a/src/groups/monitor.h
+++ b/src/groups/monitor.h
@@ -104,42 +104,61 @@
         TimePoint since;
     };
 
+    // Inputs, in monitor.cpp
+    void begin(TimePoint now);
     [[nodiscard]] GroupActions settle(TimePoint now);
-
+    void forgiveOwnPause(TimePoint now);
+    void learn(MemberWatch &watch, const MemberReport &report, TimePoint sentAt, TimePoint now);
+    void noteTerm(const Term &term, TimePoint now);
+    void note(NoteKind kind, const MemberName &member, const Term &term, PromotionReason reason = PromotionReason::Observed);
     [[nodiscard]] MemberWatch *find(const MemberName &member) noexcept;
     [[nodiscard]] const MemberWatch *find(const MemberName &member) const noexcept;
     [[nodiscard]] std::size_t majority() const noexcept;
     [[nodiscard]] bool isPrimary(const MemberName &member) const noexcept;
+    [[nodiscard]] bool silent(const MemberWatch &watch, TimePoint now) const noexcept;
+    [[nodiscard]] bool reachable(const MemberWatch &watch, TimePoint now) const noexcept;
 
-    void learn(MemberWatch &watch, const MemberReport &report, TimePoint sentAt, TimePoint now);
-    void noteTerm(const Term &term, TimePoint now);
-    void forgiveOwnPause(TimePoint now);
+    // Which member leads, in monitorbelief.cpp
     void refreshPrimary(TimePoint now);
     void believe(const MemberWatch &watch, TimePoint now);
     void losePrimary();
     void confirmPrimary();
     void refreshReplication(TimePoint now);
+    [[nodiscard]] Term majorityAdopted() const;
+    [[nodiscard]] Mark primaryLog() const;
+
+    // Whether a promotion is needed, in monitorneed.cpp
     void refreshNeed(TimePoint now);
+    void raiseNeed(PromotionReason reason, TimePoint now);
+    void clearNeed();
     [[nodiscard]] std::optional<PromotionReason> findNeed(TimePoint now);
     [[nodiscard]] std::optional<PromotionReason> needWithoutPrimary(TimePoint now) const;
     [[nodiscard]] std::optional<PromotionReason> needWithPrimary(TimePoint now);
-    [[nodiscard]] bool primaryDead(const MemberWatch &watch, TimePoint now);
-    [[nodiscard]] Microseconds startDelay(PromotionReason reason);
-    [[nodiscard]] bool mayPromote(TimePoint now) const;
+    [[nodiscard]] bool heldBack(const Term &term, TimePoint since) const;
+    [[nodiscard]] bool primaryStalled(TimePoint now) const;
+    [[nodiscard]] bool termStranded(TimePoint now) const;
+    [[nodiscard]] Microseconds replicationBound() const noexcept;
+    [[nodiscard]] Microseconds rankDelay();
+    [[nodiscard]] std::size_t reachableMembers(const MemberName &without, TimePoint now) const;
+    void askPeers(TimePoint now);
+
+    // Attempts, in monitorattempt.cpp
     void startPromotion(PromotionReason reason, TimePoint detectedAt, TimePoint now);
     void advancePromotion(TimePoint now);
+    void chooseCandidate(TimePoint now);
     void sendPromotionOrders(TimePoint now);
-    void sendOrder(MemberWatch &watch, OrderKind kind, const Term &term, TimePoint now);
+    void sendOrder(MemberWatch &watch, OrderKind kind, const Term &term);
     void abandonPromotion(TimePoint now);
-    void finishPromotion(const MemberWatch &watch, TimePoint now);
+
+    // Upkeep, in monitorupkeep.cpp
     void redirectMembers(TimePoint now);
+    [[nodiscard]] bool mustFollow(const MemberWatch &watch, TimePoint now) const;
     void sendReports(TimePoint now);
     void advanceSwitchover(TimePoint now);
-    void endSwitchover(NoteKind note, TimePoint now);
-    void askPeers(TimePoint now);
-    void note(NoteKind kind, const MemberName &member, const Term &term, PromotionReason reason = PromotionReason::Observed);
-    [[nodiscard]] Term majorityAdopted() const;
-    [[nodiscard]] std::size_t reachableMembers(TimePoint now, const MemberName &without) const;
+    void startSwitchover(TimePoint now);
+    void endSwitchover(NoteKind kind, TimePoint now);
+    void planWake(TimePoint now);
+    void wakeAt(TimePoint when, TimePoint now) noexcept;
 
     std::vector<GroupMember> members_;
     /// In the order of members_.
@@ -152,14 +171,19 @@
 
     /// Highest term seen anywhere; new attempts go above it.
     Term highest_;
-    /// When highest_ last grew: somebody is promoting.
-    TimePoint highestSince_;
+    /// Until when another owner's attempt, seen by its term, is left alone.
+    TimePoint foreignUntil_;
     std::optional<PrimaryView> primary_;
     /// The last member that was known to lead.
     MemberName previousPrimary_;
     /// Other owners' sightings, at most one for each of Suspicion's bounded number of peers.
     Suspicion suspicion_;
-    ReplicationWatch replication_;
+    /// How many promotions in a row did not mend replication.
+    unsigned stalledPromotions_ = 0;
+    TimePoint peersAskedAt_;
+    /// True once the present silence was noted as held back by other owners.
+    bool heldBackNoted_ = false;
+    TimePoint lastForgiven_;
 
     std::optional<Need> need_;
     /// Earliest start of an attempt for need_.
@@ -174,7 +198,6 @@
     /// A member that was asked to leave; empty when none was.
     MemberName leaving_;
 
-    TimePoint lastInput_;
     TimePoint wake_;
 };
 
--- /dev/null
+++ b/src/groups/monitorattempt.cpp
@@ -0,0 +1,108 @@
+// The group monitor's promotion attempts: adoption by a majority, lead, and giving up.
+#include "groups/monitor.h"
+
+#include <algorithm>
+
+namespace cardamomstep {
+
+void GroupMonitor::startPromotion(PromotionReason reason, TimePoint detectedAt, TimePoint now)
+{
+    PromotionPlan plan;
+    plan.term = Term{highest_.number + 1, std::max<std::uint64_t>(random_(), 1)};
+    plan.reason = reason;
+    plan.detectedAt = detectedAt;
+    plan.startedAt = now;
+    plan.patientUntil = now;
+    plan.deadline = now + policy_.attemptTimeout;
+    if (reason == PromotionReason::PrimaryStalled) {
+        plan.avoid = primary_->member;
+        plan.skipAvoided = true;
+        ++stalledPromotions_;
+    }
+    if (reason == PromotionReason::TermRepair) {
+        plan.prefer = primary_->member;
+        plan.patientUntil = now + policy_.orderTimeout;
+    }
+    if (reason == PromotionReason::Switchover) {
+        plan.avoid = switchover_.from();
+        plan.prefer = switchover_.target();
+        plan.patientUntil = now + policy_.orderTimeout;
+    }
+    highest_ = plan.term;
+    note(NoteKind::PromotionStarted, MemberName{}, plan.term, reason);
+    promotion_.emplace(plan, watches_.size());
+    need_.reset();
+    sendPromotionOrders(now);
+}
+
+void GroupMonitor::advancePromotion(TimePoint now)
+{
+    if (!promotion_) {
+        return;
+    }
+    const auto passed = [&](const MemberWatch &watch) {
+        return watch.report() && watch.report()->adopted > promotion_->term();
+    };
+    const auto *candidate = find(promotion_->candidate());
+    const bool candidateGone = candidate != nullptr && candidate->gone();
+    if (std::any_of(watches_.begin(), watches_.end(), passed) || candidateGone || now >= promotion_->plan().deadline) {
+        abandonPromotion(now);
+        return;
+    }
+    chooseCandidate(now);
+    sendPromotionOrders(now);
+}
+
+void GroupMonitor::chooseCandidate(TimePoint now)
+{
+    const auto awaited = [&](const MemberWatch &watch) {
+        return reachable(watch, now) && !promotion_->adoptedBy(watch.name());
+    };
+    const bool complete = now >= promotion_->plan().patientUntil || std::none_of(watches_.begin(), watches_.end(), awaited);
+    promotion_->choose(complete);
+}
+
+void GroupMonitor::sendPromotionOrders(TimePoint now)
+{
+    const auto &plan = promotion_->plan();
+    for (auto &watch : watches_) {
+        const bool leftOut = plan.skipAvoided && watch.name() == plan.avoid;
+        if (!watch.orderAllowed(now) || watch.gone() || leftOut) {
+            continue;
+        }
+        if (watch.name() == promotion_->candidate()) {
+            sendOrder(watch, OrderKind::Lead, plan.term);
+        } else if (!promotion_->adoptedBy(watch.name())) {
+            sendOrder(watch, OrderKind::Adopt, plan.term);
+        }
+    }
+}
+
+void GroupMonitor::sendOrder(MemberWatch &watch, OrderKind kind, const Term &term)
+{
+    watch.orderSent(OutstandingOrder{kind, term});
+    if (kind == OrderKind::Adopt) {
+        actions_.emplace_back(SendAdopt{watch.name(), term, policy_.orderTimeout});
+    } else if (kind == OrderKind::Lead) {
+        actions_.emplace_back(SendLead{watch.name(), term, policy_.orderTimeout});
+    } else {
+        const auto &primary = primary_->member;
+        const auto member = std::find_if(members_.begin(), members_.end(), [&](const GroupMember &known) { return known.name == primary; });
+        actions_.emplace_back(SendFollow{watch.name(), term, primary, member->address, policy_.orderTimeout});
+    }
+}
+
+// After the pause the belief about the primary is fresh again: a rival that led ends the need.
+void GroupMonitor::abandonPromotion(TimePoint now)
+{
+    note(NoteKind::PromotionAbandoned, promotion_->candidate(), promotion_->term(), promotion_->plan().reason);
+    promotion_.reset();
+    constexpr unsigned largestShift = 10;
+    const Microseconds longest = std::min(policy_.backOffMin * (1U << std::min(failedAttempts_, largestShift)), policy_.backOffMax);
+    ++failedAttempts_;
+    const auto half = longest.count() / 2;
+    const Microseconds drawn{half + static_cast<Microseconds::rep>(random_.below(static_cast<std::uint64_t>(half) + 1))};
+    backOffUntil_ = now + drawn + rankDelay();
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/tests/groups/cluster.cpp
@@ -0,0 +1,611 @@
+// The model of members, links and proxies behind the tests of the group monitor.
+#include "cluster.h"
+
+#include <algorithm>
+
+namespace cardamomstep::testing {
+
+namespace {
+
+constexpr Milliseconds writeInterval{10};
+constexpr Milliseconds writeTimeout{200};
+constexpr Milliseconds pullRetry{20};
+constexpr Milliseconds pullWait{100};
+constexpr Milliseconds gossipInterval{100};
+
+} // namespace
+
+Cluster::Cluster(const ClusterOptions &options)
+    : members(options.members)
+    , proxies(options.ranks.size())
+    , options_(options)
+    , random_(options.seed)
+{
+    std::vector<GroupMember> configured;
+    std::vector<MemberName> names;
+    for (unsigned index = 0; index < options.members; ++index) {
+        members[index].name = MemberName{"m" + std::to_string(index)};
+        configured.push_back({members[index].name, Address{"10.0.0.1:" + std::to_string(index)}});
+        names.push_back(members[index].name);
+    }
+    for (std::size_t index = 0; index < proxies.size(); ++index) {
+        auto &proxy = proxies[index];
+        proxy.monitor = std::make_unique<GroupMonitor>(configured, options.ranks[index], options.policy, random_(), now);
+        proxy.tracker = std::make_unique<AckTracker>(names);
+        const auto number = static_cast<int>(index);
+        at(now, [this, number] { perform(number, proxies[number].monitor->tick(now)); });
+        at(now + Microseconds{random_.below(10'000)}, [this, number] { write(number); });
+        at(now + Microseconds{random_.below(100'000)}, [this, number] { gossip(number, true); });
+    }
+}
+
+void Cluster::at(TimePoint when, std::function<void()> action)
+{
+    queue_.push(Event{when, eventNumber_++, std::move(action)});
+}
+
+void Cluster::run(Milliseconds span)
+{
+    const auto until = now + span;
+    while (!queue_.empty() && queue_.top().when <= until) {
+        auto action = queue_.top().action;
+        now = queue_.top().when;
+        queue_.pop();
+        action();
+    }
+    now = until;
+}
+
+bool Cluster::runUntilConfirmed(std::uint64_t above, Milliseconds limit)
+{
+    for (Milliseconds spent{0}; spent < limit; ++spent) {
+        run(Milliseconds{1});
+        for (const auto &proxy : proxies) {
+            const auto view = proxy.monitor->primary();
+            if (proxy.alive && view && view->confirmed && view->term.number > above) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool Cluster::passes(int from, int to)
+{
+    return cuts_.count(std::minmax(from, to)) == 0 && random_.below(1000) >= options_.loss;
+}
+
+Microseconds Cluster::delay()
+{
+    return options_.delay + Microseconds{random_.below(static_cast<std::uint64_t>(options_.jitter.count()) + 1)};
+}
+
+void Cluster::send(int from, int to, std::function<void()> action)
+{
+    if (passes(from, to)) {
+        at(now + delay(), std::move(action));
+    }
+}
+
+int Cluster::node(int member) const
+{
+    return static_cast<int>(proxies.size()) + member;
+}
+
+void Cluster::awake(int member, std::function<void()> action)
+{
+    if (members[member].frozen) {
+        members[member].backlog.push_back(std::move(action));
+    } else {
+        action();
+    }
+}
+
+void Cluster::changed(int member)
+{
+    auto watchers = std::exchange(members[member].watchers, {});
+    for (const auto &watcher : watchers) {
+        watcher();
+    }
+    for (const auto &term : ledTerms) {
+        const auto adopters = std::count_if(members.begin(), members.end(), [&](const SimMember &other) { return other.adopted >= term; });
+        if (static_cast<std::size_t>(adopters) >= majorityOf(members.size())) {
+            majorityAdoptedAt.emplace(term, now);
+        }
+    }
+}
+
+template<typename Reply>
+void Cluster::call(int proxy,
+                   int member,
+                   Milliseconds timeout,
+                   std::function<void(std::function<void(Reply)>)> serve,
+                   std::function<void(LinkResult<Reply>)> done)
+{
+    const auto open = std::make_shared<bool>(true);
+    const auto finish = [this, open, proxy, member, done](LinkResult<Reply> result) {
+        if (!std::exchange(*open, false) || !proxies[proxy].alive) {
+            return;
+        }
+        if (std::holds_alternative<LinkFailure>(result)) {
+            proxies[proxy].freshConnections.insert(member);
+        }
+        done(std::move(result));
+    };
+    const auto fail = [finish](LinkFault fault) {
+        finish(LinkFailure{fault, fault == LinkFault::Refused, {}});
+    };
+    at(now + timeout, [fail] { fail(LinkFault::TimedOut); });
+    const auto back = [this, proxy, member](std::function<void()> action) {
+        send(node(member), proxy, std::move(action));
+    };
+    const auto arrive = [this, member, serve, finish, fail, back] {
+        auto &target = members[member];
+        if (target.hostDown) {
+            return;
+        }
+        if (!target.up) {
+            back([fail] { fail(LinkFault::Refused); });
+            return;
+        }
+        target.breakers.push_back([fail, back] { back([fail] { fail(LinkFault::Closed); }); });
+        const auto generation = target.generation;
+        awake(member, [this, member, serve, finish, back, generation] {
+            serve([this, member, finish, back, generation](Reply reply) {
+                awake(member, [this, member, finish, back, generation, reply] {
+                    if (members[member].generation == generation) {
+                        back([finish, reply] { finish(reply); });
+                    }
+                });
+            });
+        });
+    };
+    // A new connection costs one more round trip.
+    const bool fresh = proxies[proxy].freshConnections.erase(member) > 0;
+    if (passes(proxy, node(member))) {
+        at(now + delay() * (fresh ? 3 : 1), arrive);
+    }
+}
+
+void Cluster::perform(int proxy, GroupActions actions)
+{
+    for (const auto &action : actions) {
+        if (!proxies[proxy].alive || (beforeAction && !beforeAction(proxy, action))) {
+            continue;
+        }
+        events.emplace_back(now, action);
+        performOne(proxy, action);
+    }
+    schedule(proxy);
+}
+
+void Cluster::schedule(int proxy)
+{
+    const auto number = ++proxies[proxy].tickNumber;
+    at(std::max(now, proxies[proxy].monitor->nextWake()), [this, proxy, number] {
+        if (proxies[proxy].alive && proxies[proxy].tickNumber == number) {
+            perform(proxy, proxies[proxy].monitor->tick(now));
+        }
+    });
+}
+
+void Cluster::performOne(int proxy, const GroupAction &action)
+{
+    if (const auto *report = std::get_if<SendReport>(&action)) {
+        const int member = indexOf(report->member);
+        const auto sentAt = now;
+        const auto wait = report->wait;
+        const auto seen = proxies[proxy].seen[member];
+        call<MemberReport>(
+            proxy,
+            member,
+            wait + report->timeout,
+            [this, member, seen, wait](std::function<void(MemberReport)> reply) { serveReport(member, seen, wait, std::move(reply)); },
+            [this, proxy, member, sentAt](const LinkResult<MemberReport> &result) {
+                const auto &name = members[member].name;
+                if (const auto *failure = std::get_if<LinkFailure>(&result)) {
+                    perform(proxy, proxies[proxy].monitor->onLinkFailure(name, *failure, now));
+                    return;
+                }
+                const auto &state = std::get<MemberReport>(result);
+                proxies[proxy].seen[member] = state;
+                learn(proxy, state);
+                perform(proxy, proxies[proxy].monitor->onReport(name, state, sentAt, now));
+            });
+    } else if (const auto *adopt = std::get_if<SendAdopt>(&action)) {
+        order(proxy, indexOf(adopt->member), OrderKind::Adopt, adopt->term, -1, adopt->timeout);
+    } else if (const auto *lead = std::get_if<SendLead>(&action)) {
+        order(proxy, indexOf(lead->member), OrderKind::Lead, lead->term, -1, lead->timeout);
+    } else if (const auto *follow = std::get_if<SendFollow>(&action)) {
+        order(proxy, indexOf(follow->member), OrderKind::Follow, follow->term, indexOf(follow->primary), follow->timeout);
+    } else if (std::holds_alternative<AskPeers>(action)) {
+        for (int peer = 0; peer < static_cast<int>(proxies.size()); ++peer) {
+            if (peer != proxy) {
+                send(proxy, peer, [this, peer] { gossip(peer, false); });
+            }
+        }
+    } else if (std::holds_alternative<HoldWrites>(action) || std::holds_alternative<ReleaseWrites>(action)) {
+        const bool held = std::holds_alternative<HoldWrites>(action);
+        for (int peer = 0; peer < static_cast<int>(proxies.size()); ++peer) {
+            send(proxy, peer, [this, peer, held] { proxies[peer].writesHeld = held; });
+        }
+    }
+}
+
+void Cluster::order(int proxy, int member, OrderKind kind, const Term &term, int primary, Milliseconds timeout)
+{
+    const auto sentAt = now;
+    call<TermReply>(
+        proxy,
+        member,
+        timeout,
+        [this, member, kind, term, primary](const std::function<void(TermReply)> &reply) {
+            reply(serveOrder(member, kind, term, primary));
+        },
+        [this, proxy, member, kind, term, sentAt](const LinkResult<TermReply> &result) {
+            auto &monitor = *proxies[proxy].monitor;
+            const auto &name = members[member].name;
+            if (const auto *failure = std::get_if<LinkFailure>(&result)) {
+                perform(proxy, monitor.onOrderFailure(name, kind, term, *failure, now));
+                return;
+            }
+            const auto &reply = std::get<TermReply>(result);
+            learn(proxy, reply.report);
+            perform(proxy, monitor.onOrderReply(name, kind, term, reply, sentAt, now));
+        });
+}
+
+TermReply Cluster::serveOrder(int member, OrderKind kind, const Term &term, int primary)
+{
+    auto &target = members[member];
+    const auto reply = [&target](bool accepted) {
+        return TermReply{accepted, target.report()};
+    };
+    if (term < target.adopted || (kind == OrderKind::Lead && term != target.adopted)) {
+        return reply(false);
+    }
+    if (kind != OrderKind::Lead && term > target.adopted) {
+        target.adopted = term;
+        target.role = MemberRole::Replica;
+        target.following = -1;
+        ++target.pulls;
+    }
+    if (kind == OrderKind::Lead && target.role != MemberRole::Primary) {
+        for (const auto &other : members) {
+            if (&other != &target && other.adopted == term && other.role == MemberRole::Primary) {
+                safetyFault = "two members lead at " + toText(term);
+            }
+        }
+        target.role = MemberRole::Primary;
+        target.log.push_back(Entry{term, 0});
+        ledTerms.insert(term);
+    }
+    if (kind == OrderKind::Follow) {
+        if (target.role == MemberRole::Primary) {
+            safetyFault = "the primary of " + toText(term) + " was told to follow at its own term";
+        }
+        target.following = primary;
+        pull(member, ++target.pulls);
+    }
+    changed(member);
+    return reply(true);
+}
+
+void Cluster::serveReport(int member, const MemberReport &seen, Milliseconds wait, std::function<void(MemberReport)> reply)
+{
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, member, reply = std::move(reply), answered] {
+        if (!std::exchange(*answered, true)) {
+            reply(members[member].report());
+        }
+    };
+    if (wait == Milliseconds{0} || members[member].report() != seen) {
+        answer();
+        return;
+    }
+    members[member].watchers.push_back(answer);
+    at(now + wait, [this, member, answer] { awake(member, answer); });
+}
+
+void Cluster::pull(int member, unsigned number)
+{
+    const auto stale = [this, member, number] {
+        return members[member].pulls != number || !members[member].up;
+    };
+    const int source = members[member].following;
+    const auto term = members[member].adopted;
+    const auto again = [this, member, number, stale] {
+        awake(member, [this, member, number, stale] {
+            if (!stale()) {
+                pull(member, number);
+            }
+        });
+    };
+    // Each pull has one reply or its deadline, whichever is first.
+    const auto open = std::make_shared<bool>(true);
+    at(now + pullWait + pullRetry, [open, again] {
+        if (std::exchange(*open, false)) {
+            again();
+        }
+    });
+    const auto apply = [this, member, stale, again, open, term](const std::vector<Entry> &log) {
+        awake(member, [this, member, stale, again, open, term, log] {
+            if (!std::exchange(*open, false) || stale() || members[member].adopted != term) {
+                return;
+            }
+            members[member].log = log;
+            changed(member);
+            again();
+        });
+    };
+    const auto known = members[member].log;
+    const auto serve = [this, member, source, term, apply, known] {
+        const auto &leader = members[source];
+        if (!leader.up || leader.role != MemberRole::Primary || leader.adopted != term) {
+            return;
+        }
+        const auto answer = [this, member, source, term, apply] {
+            const auto &from = members[source];
+            if (from.up && from.role == MemberRole::Primary && from.adopted == term && passes(node(source), node(member))) {
+                at(now + delay() + members[member].lag, [apply, log = from.log] { apply(log); });
+            }
+        };
+        if (leader.log != known) {
+            answer();
+        } else {
+            members[source].watchers.push_back(answer);
+        }
+    };
+    send(node(member), node(source), [this, source, serve] {
+        if (!members[source].hostDown) {
+            awake(source, serve);
+        }
+    });
+}
+
+void Cluster::learn(int proxy, const MemberReport &report)
+{
+    if (proxies[proxy].tracker->onState(report.member, report.log, report.adopted)) {
+        checkPending(proxy);
+    }
+}
+
+void Cluster::checkPending(int proxy)
+{
+    auto &pending = proxies[proxy].pending;
+    for (auto write = pending.begin(); write != pending.end();) {
+        const auto coverage = proxies[proxy].tracker->coverage(write->mark);
+        if (coverage == Coverage::Covered) {
+            acked.push_back({write->id, write->mark, write->appendedAt, now});
+        }
+        write = coverage == Coverage::Pending ? std::next(write) : pending.erase(write);
+    }
+}
+
+void Cluster::write(int proxy)
+{
+    if (!options_.writes || !proxies[proxy].alive) {
+        return;
+    }
+    at(now + writeInterval, [this, proxy] { write(proxy); });
+    const auto view = proxies[proxy].monitor->primary();
+    if (!view || proxies[proxy].writesHeld) {
+        return;
+    }
+    const int member = indexOf(view->member);
+    const auto term = view->term;
+    const auto id = nextId_++;
+    call<WriteReply>(
+        proxy,
+        member,
+        writeTimeout,
+        [this, member, term, id](const std::function<void(WriteReply)> &reply) {
+            auto &target = members[member];
+            if (target.role != MemberRole::Primary || target.adopted != term) {
+                reply(WriteReply{false, target.mark(), target.adopted});
+                return;
+            }
+            target.log.push_back(Entry{term, id});
+            appendedAt_[id] = now;
+            const WriteReply done{true, target.mark(), target.adopted};
+            changed(member);
+            reply(done);
+        },
+        [this, proxy, member, id](const LinkResult<WriteReply> &result) {
+            const auto *reply = std::get_if<WriteReply>(&result);
+            if (reply == nullptr) {
+                return;
+            }
+            if (reply->accepted) {
+                proxies[proxy].pending.push_back({id, reply->mark, appendedAt_[id]});
+            }
+            proxies[proxy].tracker->onState(members[member].name, reply->mark, reply->adopted);
+            checkPending(proxy);
+            perform(proxy, proxies[proxy].monitor->onStatementEvidence(members[member].name, now));
+        });
+}
+
+void Cluster::gossip(int proxy, bool repeat)
+{
+    if (!proxies[proxy].alive) {
+        return;
+    }
+    if (repeat) {
+        at(now + gossipInterval, [this, proxy] { gossip(proxy, true); });
+    }
+    const InstanceName name{"p" + std::to_string(proxy)};
+    const auto sighting = proxies[proxy].monitor->sighting(now);
+    for (int peer = 0; peer < static_cast<int>(proxies.size()); ++peer) {
+        if (peer == proxy) {
+            continue;
+        }
+        send(proxy, peer, [this, peer, name, sighting] {
+            if (proxies[peer].alive) {
+                perform(peer, proxies[peer].monitor->onPeerSighting(name, sighting, now));
+            }
+        });
+    }
+}
+
+void Cluster::kill(int member, bool host)
+{
+    auto &target = members[member];
+    target.up = false;
+    target.hostDown = host;
+    target.frozen = false;
+    target.backlog.clear();
+    target.watchers.clear();
+    ++target.generation;
+    ++target.pulls;
+    auto breakers = std::exchange(target.breakers, {});
+    for (const auto &breaker : breakers) {
+        if (!host) {
+            breaker();
+        }
+    }
+}
+
+void Cluster::restart(int member)
+{
+    auto &target = members[member];
+    if (target.up) {
+        return;
+    }
+    target.up = true;
+    target.hostDown = false;
+    target.role = MemberRole::Replica;
+    target.following = -1;
+}
+
+void Cluster::freeze(int member)
+{
+    members[member].frozen = members[member].up;
+}
+
+void Cluster::wake(int member)
+{
+    members[member].frozen = false;
+    auto backlog = std::exchange(members[member].backlog, {});
+    for (const auto &action : backlog) {
+        action();
+    }
+}
+
+void Cluster::killProxy(int proxy)
+{
+    proxies[proxy].alive = false;
+}
+
+void Cluster::cutMembers(int left, int right)
+{
+    cuts_.insert(std::minmax(node(left), node(right)));
+}
+
+void Cluster::cutProxy(int proxy, int member)
+{
+    cuts_.insert(std::minmax(proxy, node(member)));
+}
+
+void Cluster::cutProxies(int left, int right)
+{
+    cuts_.insert(std::minmax(left, right));
+}
+
+void Cluster::heal()
+{
+    cuts_.clear();
+    options_.loss = 0;
+}
+
+void Cluster::settle(Milliseconds span)
+{
+    heal();
+    for (int member = 0; member < static_cast<int>(members.size()); ++member) {
+        members[member].lag = Microseconds{0};
+        wake(member);
+        restart(member);
+    }
+    run(span);
+}
+
+void Cluster::append(int member, const Term &term, std::uint64_t count)
+{
+    for (std::uint64_t number = 0; number < count; ++number) {
+        members[member].log.push_back(Entry{term, nextId_++});
+    }
+}
+
+int Cluster::primary() const
+{
+    for (const auto &proxy : proxies) {
+        if (proxy.alive) {
+            const auto view = proxy.monitor->primary();
+            return view ? indexOf(view->member) : -1;
+        }
+    }
+    return -1;
+}
+
+Term Cluster::term() const
+{
+    for (const auto &proxy : proxies) {
+        if (proxy.alive) {
+            const auto view = proxy.monitor->primary();
+            return view ? view->term : Term{};
+        }
+    }
+    return {};
+}
+
+std::size_t Cluster::count(NoteKind kind) const
+{
+    return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [&](const auto &event) {
+        const auto *note = std::get_if<Note>(&event.second);
+        return note != nullptr && note->kind == kind;
+    }));
+}
+
+std::size_t Cluster::promotions() const
+{
+    return ledTerms.size();
+}
+
+std::size_t Cluster::ackedSince(TimePoint since, const Term &term) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        acked.begin(), acked.end(), [&](const AckedWrite &write) { return write.appendedAt >= since && write.mark.term == term; }));
+}
+
+int Cluster::indexOf(const MemberName &name) const
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&](const SimMember &member) { return member.name == name; });
+    return static_cast<int>(found - members.begin());
+}
+
+std::string Cluster::fault()
+{
+    if (!safetyFault.empty()) {
+        return safetyFault;
+    }
+    const int leader = primary();
+    if (leader < 0 || !members[leader].up) {
+        return "no primary";
+    }
+    std::set<std::uint64_t> kept;
+    for (const auto &entry : members[leader].log) {
+        kept.insert(entry.id);
+    }
+    for (const auto &write : acked) {
+        if (kept.count(write.id) == 0) {
+            return "acknowledged write " + std::to_string(write.id) + " at " + toText(write.mark) + " is lost";
+        }
+        for (const auto &[term, when] : majorityAdoptedAt) {
+            if (term > write.mark.term && write.appendedAt > when) {
+                return "write at " + toText(write.mark) + " was acknowledged although " + toText(term) + " had been adopted";
+            }
+        }
+    }
+    return {};
+}
+
+} // namespace cardamomstep::testing
