--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -25,3 +25,6 @@
 cardamomstep_test(configuration)
 cardamomstep_library(logging base settings Boost::log)
 cardamomstep_library(metrics base)
+
+cardamomstep_library(groups base)
+cardamomstep_test(groups)
