--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -11,7 +11,6 @@
 add_library(peerwire STATIC ${CMAKE_SOURCE_DIR}/src/peer/generated/peer.pb.cc ${CMAKE_SOURCE_DIR}/src/peer/generated/peer.grpc.pb.cc)
 target_include_directories(peerwire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/src/peer/generated)
 target_link_libraries(peerwire PUBLIC PkgConfig::GRPC PkgConfig::PROTOBUF)
-cardamomstep_library(peer base peerwire)
 cardamomstep_library(json base)
 cardamomstep_test(json)
 
@@ -28,3 +27,4 @@
 
 cardamomstep_library(groups base)
 cardamomstep_test(groups)
+cardamomstep_library(peer base peerwire groups configuration)
--- a/src/peer/impl/peercodec.cpp
+++ b/src/peer/impl/peercodec.cpp
@@ -48,6 +48,12 @@
     return mark ? *mark : Mark{};
 }
 
+Term termOrNone(const std::string &text)
+{
+    const auto term = parseTerm(text);
+    return term ? *term : Term{};
+}
+
 Ran ranFromWire(std::uint32_t value)
 {
     return value <= static_cast<std::uint32_t>(Ran::Unknown) ? static_cast<Ran>(value) : Ran::Unknown;
@@ -172,13 +178,14 @@
 {
     wire::ObjectsMessage message;
     message.set_from(objects.from.text());
-    message.set_revision(objects.revision);
-    message.set_complete(objects.complete);
-    for (const auto &object : objects.objects) {
+    message.set_after(objects.delta.after.value);
+    message.set_up_to(objects.delta.upTo.value);
+    message.set_whole(objects.delta.whole);
+    for (const auto &object : objects.delta.changes) {
         auto *entry = message.add_objects();
-        entry->set_kind(object.kind);
-        entry->set_name(object.name);
-        entry->set_version(object.version);
+        entry->set_kind(object.kind.text());
+        entry->set_name(object.name.text());
+        entry->set_version(object.version.value);
         entry->set_value(object.value);
         entry->set_deleted(object.deleted);
     }
@@ -187,9 +194,15 @@
 
 Objects decode(const wire::ObjectsMessage &message)
 {
-    Objects objects{InstanceName{message.from()}, message.revision(), {}, message.complete()};
+    Objects objects;
+    objects.from = InstanceName{message.from()};
+    objects.delta.after = Revision{message.after()};
+    objects.delta.upTo = Revision{message.up_to()};
+    objects.delta.whole = message.whole();
     for (const auto &entry : message.objects()) {
-        objects.objects.push_back({entry.kind(), entry.name(), entry.version(), entry.value(), entry.deleted()});
+        const StoredObject object{
+            ObjectKind{entry.kind()}, ObjectName{entry.name()}, Revision{entry.version()}, entry.value(), entry.deleted()};
+        objects.delta.changes.push_back(object);
     }
     return objects;
 }
@@ -198,14 +211,15 @@
 {
     wire::DigestMessage message;
     message.set_from(digest.from.text());
-    message.set_revision(digest.revision);
-    message.set_digest(digest.digest);
+    message.set_complete(digest.digest.complete.value);
+    message.set_highest(digest.digest.highest.value);
+    message.set_hash(digest.digest.hash);
     return message;
 }
 
 Digest decode(const wire::DigestMessage &message)
 {
-    return {InstanceName{message.from()}, message.revision(), message.digest()};
+    return {InstanceName{message.from()}, {Revision{message.complete()}, Revision{message.highest()}, message.hash()}};
 }
 
 wire::SightingMessage encode(const Sighting &sighting)
@@ -213,33 +227,27 @@
     wire::SightingMessage message;
     message.set_from(sighting.from.text());
     message.set_group(sighting.group.text());
-    for (const auto &member : sighting.members) {
-        auto *entry = message.add_members();
-        entry->set_member(member.member.text());
-        entry->set_age_us(member.age ? member.age->count() : absent);
-        entry->set_adopted(toText(member.adopted));
-        entry->set_log(toText(member.log));
-        entry->set_primary(member.primary);
-        entry->set_leaving(member.leaving);
-    }
+    message.set_primary(sighting.seen.primary.text());
+    message.set_term(toText(sighting.seen.term));
+    message.set_highest(toText(sighting.seen.highest));
+    message.set_log(toText(sighting.seen.log));
+    message.set_age_ms(sighting.seen.age.count());
+    message.set_hold_ms(sighting.hold ? sighting.hold->count() : absent);
     return message;
 }
 
 Sighting decode(const wire::SightingMessage &message)
 {
-    Sighting sighting{InstanceName{message.from()}, GroupName{message.group()}, {}};
-    for (const auto &entry : message.members()) {
-        MemberSighting member;
-        member.member = MemberName{entry.member()};
-        if (entry.age_us() >= 0) {
-            member.age = Microseconds{entry.age_us()};
-        }
-        const auto adopted = parseTerm(entry.adopted());
-        member.adopted = adopted ? *adopted : Term{};
-        member.log = markOrNone(entry.log());
-        member.primary = entry.primary();
-        member.leaving = entry.leaving();
-        sighting.members.push_back(std::move(member));
+    Sighting sighting;
+    sighting.from = InstanceName{message.from()};
+    sighting.group = GroupName{message.group()};
+    sighting.seen.primary = MemberName{message.primary()};
+    sighting.seen.term = termOrNone(message.term());
+    sighting.seen.highest = termOrNone(message.highest());
+    sighting.seen.log = markOrNone(message.log());
+    sighting.seen.age = Milliseconds{message.age_ms()};
+    if (message.hold_ms() >= 0) {
+        sighting.hold = Milliseconds{message.hold_ms()};
     }
     return sighting;
 }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -4,6 +4,8 @@
 #include "base/ids.h"
 #include "base/mark.h"
 #include "base/time.h"
+#include "configuration/state.h"
+#include "groups/sighting.h"
 #include "peer/fwd.h"
 
 #include <cstdint>
@@ -50,50 +52,25 @@
     std::vector<MemberEntry> updates;
 };
 
-/// One stored object of the configuration.
-struct Object {
-    std::string kind;
-    std::string name;
-    std::uint64_t version = 0;
-    std::string value;
-    bool deleted = false;
-
-    [[nodiscard]] bool operator==(const Object &) const = default;
-};
-
-/// Configuration on its way to a peer.
+/// Changes of the configuration on their way to a peer.
 struct Objects {
     InstanceName from;
-    /// Store revision that the sender has in force.
-    std::uint64_t revision = 0;
-    std::vector<Object> objects;
-    /// True when these are all objects that there are.
-    bool complete = false;
+    ConfigurationDelta delta;
 };
 
-/// A short description of what a proxy has.
+/// What the sender has of the configuration.
 struct Digest {
     InstanceName from;
-    std::uint64_t revision = 0;
-    std::uint64_t digest = 0;
-};
-
-/// What a proxy knows of one member of a group.
-struct MemberSighting {
-    MemberName member;
-    /// Time since the last sign of life; nothing when there was none.
-    std::optional<Microseconds> age;
-    Term adopted;
-    Mark log;
-    bool primary = false;
-    bool leaving = false;
+    ConfigurationDigest digest;
 };
 
-/// What a proxy knows of the members of a group.
+/// What a proxy knows of a group's primary, and whether writes to it are to be held.
 struct Sighting {
     InstanceName from;
     GroupName group;
-    std::vector<MemberSighting> members;
+    PeerSighting seen;
+    /// Hold writes for this long; zero releases them; absent says nothing about it.
+    std::optional<Milliseconds> hold;
 };
 
 } // namespace cardamomstep::peer
