Decisions of the data path: tokens, routing, admission, attempts, transactions, connections

Token, freshness history, read router, admission queue, write attempt, transaction registry, connection pool and share, and silence detector as state machines without I/O.

--- a/src/connections/pool.h
+++ b/src/connections/pool.h
@@ -127,7 +127,6 @@
     [[nodiscard]] std::uint32_t count(Phase phase) const noexcept;
     [[nodiscard]] Entry *freshestIdle() noexcept;
     [[nodiscard]] Entry *oldestIdle() noexcept;
-    [[nodiscard]] ConnectionStep awaitOr(TimePoint until, TimePoint deadline, TimePoint now) const;
 
     PoolLimits limits_;
     std::uint32_t allowed_ = 0;
--- a/src/connections/share.h
+++ b/src/connections/share.h
@@ -18,11 +18,13 @@
 
 /// One proxy's view of its own share, which shrinks at once and grows only into what others have released.
 ///
-/// Nobody grants a share. Each holder works it out from the list of owners and counts, for every other proxy that is or was
-/// a holder, the greatest of: its share in the current list, the share that it was assumed to hold before, and what it last said it has
-/// open. A former holder counts until it says that it has released, or until it has been gone for the expiry time, after which the member
-/// has closed its connections. The sum of all holdings stays within the limit while every proxy hears of a change before another's expiry
-/// time is over. Where that does not hold, the member's own limit is the last guard: it refuses the connection, and the pool waits.
+/// Nobody grants a share. Each holder works it out from the list of owners and leaves untouched what any other proxy may still
+/// hold: its part by the current list, and, until that proxy says that it holds less or the expiry time has passed, its
+/// part by earlier lists and what it last said to hold.
+/// The sum of all holdings stays within the limit while every proxy that is or was a holder hears of each list, and has
+/// closed what is beyond its new part, within the expiry time. Where that does not hold, for example for a holder that
+/// started a moment ago and never saw the earlier list, the member's own limit is the last guard: it refuses the connection, and the pool
+/// waits.
 class ConnectionShare
 {
 public:
@@ -37,25 +39,27 @@
     /// Connections that this proxy may have open now.
     [[nodiscard]] std::uint32_t allowed(TimePoint now) const;
 
-    /// When a former holder's claim ends.
-    [[nodiscard]] std::optional<TimePoint> nextWake() const noexcept;
+    /// When the first earlier claim expires.
+    [[nodiscard]] std::optional<TimePoint> nextWake(TimePoint now) const noexcept;
 
 private:
     struct Claim {
         InstanceName holder;
-        std::uint32_t connections = 0;
-        /// Set once the proxy is no longer a holder.
-        std::optional<TimePoint> endsAt;
+        /// Part by the current list; 0 for a former holder.
+        std::uint32_t part = 0;
+        /// What it may hold from earlier, until `earlierUntil`.
+        std::uint32_t earlier = 0;
+        TimePoint earlierUntil;
     };
 
-    [[nodiscard]] Claim *claimOf(const InstanceName &holder) noexcept;
+    [[nodiscard]] Claim &claimOf(const InstanceName &holder);
+    void dropExpired(TimePoint now);
 
     InstanceName self_;
     std::uint32_t limit_;
     Milliseconds expiry_;
     /// This proxy's part by the current list.
     std::uint32_t target_ = 0;
-    std::vector<InstanceName> holders_;
     /// What others may hold; never contains self_.
     std::vector<Claim> claims_;
 };
--- a/src/connections/silence.h
+++ b/src/connections/silence.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "connections/fwd.h"
 #include "connections/key.h"
+#include "connections/smoothedtime.h"
 
 #include <cstdint>
 #include <optional>
@@ -96,11 +97,10 @@
         TimePoint overdueAt;
     };
 
+    void clearSuspicion(std::vector<SilenceAction> &actions);
+
     SilenceLimits limits_;
-    /// Smoothed answer time and deviation, in microseconds.
-    double mean_ = 0;
-    double deviation_ = 0;
-    bool observed_ = false;
+    SmoothedTime answerTime_;
     /// Exchanges without an answer, at most one for each connection.
     std::vector<Exchange> exchanges_;
     /// When the running probe began; absent while none runs.
--- a/src/requests/impl/servicetime.h
+++ b/src/connections/smoothedtime.h
@@ -1,20 +1,21 @@
-// A running estimate of how long an exchange takes: smoothed mean and deviation.
+// A running estimate of a duration: smoothed mean and deviation.
 #pragma once
 
 #include "base/time.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace cardamomstep {
 
 /// Smoothed mean and mean deviation of a duration, as TCP keeps them for its round trip.
-class ServiceTime
+class SmoothedTime
 {
 public:
-    ServiceTime() = default;
+    SmoothedTime() = default;
 
     /// Starts from \a first until something is measured.
-    explicit ServiceTime(Microseconds first) noexcept
+    explicit SmoothedTime(Microseconds first) noexcept
         : mean_(static_cast<double>(first.count()))
     {
     }
@@ -34,6 +35,19 @@
         deviation_ += deviationGain * ((distance < 0 ? -distance : distance) - deviation_);
     }
 
+    /// Raises the mean to \a least, after a measurement proved it too low.
+    void raiseTo(Microseconds least) noexcept
+    {
+        observed_ = true;
+        mean_ = std::max(mean_, static_cast<double>(least.count()));
+    }
+
+    /// True once something was measured.
+    [[nodiscard]] bool observed() const noexcept
+    {
+        return observed_;
+    }
+
     [[nodiscard]] Microseconds mean() const noexcept
     {
         return Microseconds{static_cast<std::int64_t>(mean_)};
--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -4,8 +4,8 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "connections/smoothedtime.h"
 #include "requests/fwd.h"
-#include "requests/impl/servicetime.h"
 
 #include <array>
 #include <cstdint>
@@ -63,7 +63,7 @@
 /// Settings of an admission queue.
 struct AdmissionLimits {
     /// Requests that may wait in one lane.
-    std::uint32_t maxWaiting = 128;
+    std::uint32_t maxWaiting = 64;
     /// Estimate of one request's time in a slot before any was measured.
     Microseconds firstServiceTime{5'000};
     /// Shortest and longest time to come back that a refusal names.
@@ -123,37 +123,35 @@
         TimePoint since;
     };
 
-    /// Slot time that a service has saved (positive) or overdrawn (negative) in one lane.
-    struct Credit {
-        Microseconds saved{0};
-        TimePoint settledAt;
-    };
-
     struct LaneState {
         std::uint32_t slots = 1;
         /// Invariant: ascending by deadline, at most maxWaiting.
         std::vector<Waiting> waiting;
         /// Invariant: at most `slots`, unless the number of slots was lowered.
         std::vector<Running> running;
-        ServiceTime serviceTime;
-        /// One for each share; the last one is for all services without a share.
-        std::vector<Credit> credits;
+        SmoothedTime serviceTime;
+        /// Slot time in microseconds that each share has saved (positive) or overdrawn (negative) up to `settledAt`.
+        std::vector<double> credits;
+        TimePoint settledAt;
     };
 
+    using Actions = std::vector<AdmissionAction>;
+
     [[nodiscard]] LaneState &laneOf(Lane lane) noexcept;
     [[nodiscard]] const LaneState &laneOf(Lane lane) const noexcept;
     [[nodiscard]] std::size_t shareOf(const ServiceName &service) const noexcept;
     [[nodiscard]] bool inCredit(const LaneState &lane, std::size_t share) const noexcept;
     void settleCredits(LaneState &lane, TimePoint now) const;
     void charge(LaneState &lane, std::size_t share, Microseconds used) const;
-    void expire(LaneState &lane, TimePoint now, std::vector<AdmissionAction> &actions) const;
-    void dispatch(LaneState &lane, TimePoint now, std::vector<AdmissionAction> &actions) const;
+    void expire(LaneState &lane, TimePoint now, Actions &actions) const;
+    void dispatch(LaneState &lane, TimePoint now, Actions &actions) const;
     [[nodiscard]] std::size_t nextInLine(const LaneState &lane) const noexcept;
     [[nodiscard]] bool fits(const LaneState &lane, const Waiting &candidate, TimePoint now) const;
-    [[nodiscard]] Refused refuse(const LaneState &lane, std::uint64_t ticket) const;
-    [[nodiscard]] Milliseconds drainTime(const LaneState &lane) const noexcept;
+    [[nodiscard]] Microseconds backlog(const LaneState &lane, TimePoint now) const noexcept;
+    [[nodiscard]] Refused refuse(const LaneState &lane, std::uint64_t ticket, TimePoint now) const;
 
     AdmissionLimits limits_;
+    /// Guaranteed parts; the last one is for all services without one of their own.
     std::vector<ServiceShare> shares_;
     std::array<LaneState, laneCount> lanes_;
 };
--- a/src/requests/attempt.h
+++ b/src/requests/attempt.h
@@ -64,8 +64,8 @@
     Mark mark;
     std::string rows = "[]";
     std::uint64_t rowCount = 0;
-    /// The member-side reply was a stored one.
-    bool repeated = false;
+    /// Highest term at which the request was sent and may have run, for an unknown outcome.
+    std::optional<Term> sentTerm;
 
     [[nodiscard]] bool operator==(const AnswerWrite &) const = default;
 };
@@ -73,9 +73,19 @@
 /// The next step of a write.
 using WriteStep = std::variant<SendWrite, AskOutcome, WaitCoverage, WaitPrimary, AnswerWrite>;
 
+/// What the caller wants of an attempt.
+enum class WriteGoal : std::uint8_t {
+    Run, ///< Run the write.
+    Ask, ///< Only tell whether a request that was sent earlier ran.
+};
+
 /// What a write is and how long it may take.
 struct WriteNeed {
-    std::uint64_t fingerprint = 0;
+    WriteGoal goal = WriteGoal::Run;
+    /// For WriteGoal::Ask: the highest term at which the request may have been sent; absent when that is not known.
+    std::optional<Term> sentTerm;
+    /// Absent for WriteGoal::Ask when the body is not known.
+    std::optional<std::uint64_t> fingerprint;
     bool idempotent = false;
     /// A commit: its connection is gone after a failure, so it is never sent twice.
     bool commit = false;
@@ -119,8 +129,8 @@
     /// The member replied to what SendWrite sent; the shell has checked the exchange id and that the reply is whole.
     [[nodiscard]] WriteStep replied(const MemberReply &reply, TimePoint now);
 
-    /// The mark of WaitCoverage is covered.
-    [[nodiscard]] WriteStep covered(TimePoint now);
+    /// \a mark, as WaitCoverage named it, is covered.
+    [[nodiscard]] WriteStep covered(const Mark &mark);
 
     /// Coverage is not expected before \a expected; answers at once when that is too late.
     [[nodiscard]] WriteStep coverageExpected(TimePoint expected, TimePoint now);
@@ -147,19 +157,24 @@
     }
 
 private:
+    [[nodiscard]] bool answered() const noexcept;
     [[nodiscard]] bool timeFor(Microseconds span, TimePoint now) const noexcept;
     [[nodiscard]] TimePoint answerBy() const noexcept;
+    [[nodiscard]] bool inFlight() const noexcept;
     [[nodiscard]] WriteStep keep(WriteStep step);
-    [[nodiscard]] WriteStep send(TimePoint now);
     [[nodiscard]] WriteStep sendOrWait(TimePoint now);
     [[nodiscard]] WriteStep sendAgain(Error otherwise, TimePoint now);
-    [[nodiscard]] WriteStep resolve(TimePoint now);
-    [[nodiscard]] WriteStep ask(TimePoint notBefore, TimePoint now);
+    [[nodiscard]] WriteStep waitForNext(const Term &above, ErrorKind kind, TimePoint now);
+    [[nodiscard]] WriteStep resolve(TimePoint notBefore, TimePoint now);
     [[nodiscard]] WriteStep hold(const Mark &entry, const Term &leader, TimePoint now);
     [[nodiscard]] WriteStep refusedBy(const MemberReply &reply, TimePoint now);
-    [[nodiscard]] WriteStep fail(Error error);
-    [[nodiscard]] WriteStep giveUp(ErrorKind kindWhenNotRun, const std::string &why);
+    [[nodiscard]] WriteStep foundOutcome(const OutcomeReply &reply, TimePoint now);
+    [[nodiscard]] WriteStep absentOutcome(const OutcomeReply &reply, TimePoint now);
     [[nodiscard]] bool provesAbsence(const OutcomeReply &reply) const noexcept;
+    [[nodiscard]] WriteStep fail(Error error);
+    [[nodiscard]] WriteStep failUnknown(std::string why);
+    [[nodiscard]] WriteStep giveUp();
+    void mayHaveRun(const Term &term) noexcept;
 
     WriteNeed need_;
     /// Never null.
@@ -167,6 +182,10 @@
     PrimaryView view_;
     /// Term of the newest send.
     Term sentTerm_;
+    /// Primaries up to this term refused the request or are gone; it is sent to a later one only.
+    Term passed_;
+    /// What is answered when no later primary comes in time and nothing ran.
+    ErrorKind waitingFor_ = ErrorKind::NoPrimary;
     /// Highest term of a send that may have run; absent while none may have.
     std::optional<Term> maybeRan_;
     std::uint32_t sends_ = 0;
--- a/src/requests/deadline.h
+++ b/src/requests/deadline.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/time.h"
+#include "connections/smoothedtime.h"
 #include "requests/fwd.h"
-#include "requests/impl/servicetime.h"
 
 namespace cardamomstep {
 
@@ -35,7 +35,7 @@
     }
 
 private:
-    ServiceTime trip_;
+    SmoothedTime trip_;
 };
 
 /// The deadline of a request that arrived at \a arrived with \a window.
--- a/src/requests/fwd.h
+++ b/src/requests/fwd.h
@@ -6,6 +6,7 @@
 namespace cardamomstep {
 
 enum class Lane : std::uint8_t;
+enum class WriteGoal : std::uint8_t;
 struct AdmissionRequest;
 class AdmissionQueue;
 class HopMargin;
--- /dev/null
+++ b/src/sessions/readrouter.cpp
@@ -0,0 +1,302 @@
+// Routing of reads by freshness.
+#include "sessions/readrouter.h"
+
+#include "sessions/token.h"
+
+#include <algorithm>
+
+namespace cardamomstep {
+
+namespace {
+
+/// Ages beyond this are treated as this one.
+constexpr Milliseconds longestAge = std::chrono::hours{24};
+/// When to come back after no member was fresh enough or no primary was known.
+constexpr Milliseconds retryAfterNotFresh{50};
+constexpr Microseconds shortestWait{1'000};
+constexpr double lagMargin = 2;
+/// A stale answer adds this part of the lag that it proves.
+constexpr int staleRaiseDivisor = 4;
+
+std::uint32_t bitOf(std::size_t index)
+{
+    return std::uint32_t{1} << index;
+}
+
+} // namespace
+
+void ReadRouter::setMembers(const std::vector<MemberName> &members)
+{
+    for (auto &member : members_) {
+        const bool listed = std::find(members.begin(), members.end(), member.name) != members.end();
+        member.leaving = member.leaving || !listed;
+    }
+    for (const auto &name : members) {
+        if (find(name) == nullptr && members_.size() < maxMembers) {
+            members_.emplace_back();
+            members_.back().name = name;
+        }
+    }
+}
+
+void ReadRouter::report(const MemberReport &report, TimePoint now)
+{
+    auto *member = find(report.member);
+    if (member == nullptr || (member->known && now < member->seenAt)) {
+        return;
+    }
+    member->leaving = report.leaving;
+    if (indexOf(report.member) == primary_) {
+        learnPrimaryMark(report.log, now);
+    }
+    learnMark(*member, report.log, now);
+}
+
+void ReadRouter::setPrimary(const MemberName &primary)
+{
+    primary_ = indexOf(primary);
+}
+
+void ReadRouter::clearPrimary() noexcept
+{
+    primary_ = maxMembers;
+}
+
+void ReadRouter::confirm(TimePoint began, const Mark &primaryMark)
+{
+    history_.confirm(began, primaryMark);
+    learnPrimaryMark(primaryMark, began);
+    highestSeen_ = std::max(highestSeen_, primaryMark);
+}
+
+void ReadRouter::setSuspect(const MemberName &member, bool suspect)
+{
+    if (auto *found = find(member)) {
+        found->suspect = suspect;
+    }
+}
+
+void ReadRouter::setRoundTrip(const MemberName &member, Microseconds roundTrip)
+{
+    if (auto *found = find(member)) {
+        found->roundTrip = roundTrip;
+    }
+}
+
+void ReadRouter::setLoad(const MemberName &member, std::uint32_t inFlight, std::uint32_t slots)
+{
+    if (auto *found = find(member)) {
+        found->inFlight = inFlight;
+        found->slots = slots;
+    }
+}
+
+ReadStep ReadRouter::route(ReadPlan &plan, TimePoint now)
+{
+    if (now >= plan.need_.deadline) {
+        return giveUp(plan, now);
+    }
+    if (auto step = settleRequired(plan, now)) {
+        return *std::move(step);
+    }
+    const auto replica = bestReplica(plan, now);
+    const auto primary = primaryCandidate(plan, now);
+    if (replica && (!primary || replica->cost < primary->cost)) {
+        return AskMember{members_[replica->index].name, false, *plan.required_};
+    }
+    if (!replica) {
+        if (const auto until = waitForReplica(plan, now)) {
+            return AwaitReplica{*until};
+        }
+    }
+    if (primary) {
+        return AskMember{members_[primary->index].name, true, *plan.required_};
+    }
+    return giveUp(plan, now);
+}
+
+bool ReadRouter::verify(ReadPlan &plan, const MemberName &member, const Mark &mark, TimePoint now)
+{
+    auto *found = find(member);
+    const bool fresh = plan.required_ && mark >= *plan.required_;
+    if (found == nullptr) {
+        return fresh;
+    }
+    if (fresh) {
+        if (mark > found->mark) {
+            learnMark(*found, mark, now);
+        }
+        return true;
+    }
+    plan.stale_ |= bitOf(indexOf(member));
+    found->mark = mark;
+    found->seenAt = now;
+    if (plan.required_) {
+        const auto reached = primaryMarks_.timeOf(*plan.required_).value_or(now);
+        const auto proved = now - found->roundTrip / 2 - reached;
+        found->lag.raiseTo(proved + proved / staleRaiseDivisor);
+    }
+    return false;
+}
+
+void ReadRouter::failed(ReadPlan &plan, const MemberName &member)
+{
+    const auto index = indexOf(member);
+    if (index < members_.size()) {
+        plan.failed_ |= bitOf(index);
+    }
+}
+
+ReadRouter::Member *ReadRouter::find(const MemberName &name) noexcept
+{
+    const auto index = indexOf(name);
+    return index < members_.size() ? &members_[index] : nullptr;
+}
+
+std::size_t ReadRouter::indexOf(const MemberName &name) const noexcept
+{
+    for (std::size_t index = 0; index < members_.size(); ++index) {
+        if (members_[index].name == name) {
+            return index;
+        }
+    }
+    return maxMembers;
+}
+
+std::optional<ReadStep> ReadRouter::settleRequired(ReadPlan &plan, TimePoint /*now*/) const
+{
+    if (plan.required_) {
+        return std::nullopt;
+    }
+    const auto &need = plan.need_;
+    const auto confirmed = history_.markCovering(need.arrived);
+    if (need.token) {
+        const auto standing = checkAgainst(*need.token, highestSeen_, confirmed);
+        if (standing == TokenStanding::Unproven) {
+            return ConfirmPrimary{};
+        }
+        if (standing == TokenStanding::Ahead) {
+            return GiveUpRead{Error{ErrorKind::TokenAhead, "the session token names " + toText(*need.token) + ", beyond the group's log"}};
+        }
+    }
+    const auto age = std::min(need.acceptedAge.value_or(Milliseconds{0}), longestAge);
+    const auto covering = history_.markCovering(need.arrived - age);
+    if (!covering) {
+        return ConfirmPrimary{};
+    }
+    plan.required_ = std::max(*covering, need.token.value_or(Mark{}));
+    return std::nullopt;
+}
+
+bool ReadRouter::usable(std::size_t index, const ReadPlan &plan, TimePoint now) const noexcept
+{
+    const auto &member = members_[index];
+    const bool inTime = now + member.roundTrip < plan.need_.deadline;
+    return member.known && !member.leaving && !member.suspect && inTime && (plan.failed_ & bitOf(index)) == 0;
+}
+
+std::optional<ReadRouter::Candidate> ReadRouter::bestReplica(const ReadPlan &plan, TimePoint now) const
+{
+    std::optional<Candidate> best;
+    for (std::size_t index = 0; index < members_.size(); ++index) {
+        if (index == primary_ || !usable(index, plan, now)) {
+            continue;
+        }
+        const auto &member = members_[index];
+        auto cost = costOf(member);
+        if (member.mark < *plan.required_) {
+            const bool likely = expectedAt(member, *plan.required_, now) <= now + member.roundTrip / 2;
+            if (!likely || (plan.stale_ & bitOf(index)) != 0) {
+                continue;
+            }
+            cost += limits_.stalePenalty;
+        }
+        if (!best || cost < best->cost) {
+            best = Candidate{index, cost};
+        }
+    }
+    return best;
+}
+
+std::optional<ReadRouter::Candidate> ReadRouter::primaryCandidate(const ReadPlan &plan, TimePoint now) const
+{
+    if (primary_ >= members_.size() || !usable(primary_, plan, now) || (plan.stale_ & bitOf(primary_)) != 0) {
+        return std::nullopt;
+    }
+    return Candidate{primary_, costOf(members_[primary_]) + limits_.primaryPenalty};
+}
+
+std::optional<TimePoint> ReadRouter::waitForReplica(ReadPlan &plan, TimePoint now) const
+{
+    const auto waitEnd = plan.waitEnd_.value_or(now + limits_.patience);
+    const auto reserve = primary_ < members_.size() ? 2 * members_[primary_].roundTrip : Microseconds{0};
+    if (now >= waitEnd || waitEnd + reserve >= plan.need_.deadline) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> earliest;
+    for (std::size_t index = 0; index < members_.size(); ++index) {
+        if (index == primary_ || !usable(index, plan, now)) {
+            continue;
+        }
+        const auto expected =
+            std::max(expectedAt(members_[index], *plan.required_, now), now + std::max(shortestWait, members_[index].roundTrip / 2));
+        if (expected <= waitEnd && (!earliest || expected < *earliest)) {
+            earliest = expected;
+        }
+    }
+    if (earliest) {
+        plan.waitEnd_ = waitEnd;
+    }
+    return earliest;
+}
+
+GiveUpRead ReadRouter::giveUp(const ReadPlan &plan, TimePoint now) const
+{
+    if (now + limits_.stalePenalty >= plan.need_.deadline) {
+        return GiveUpRead{
+            Error{ErrorKind::WindowTooShort, "the read's window ended before a fresh answer came"}.comingBackAfter(retryAfterNotFresh)};
+    }
+    if (primary_ >= members_.size()) {
+        return GiveUpRead{
+            Error{ErrorKind::NoPrimary, "no replica is fresh enough and there is no primary"}.comingBackAfter(retryAfterNotFresh)};
+    }
+    return GiveUpRead{Error{ErrorKind::NotFresh, "no member gave a fresh answer"}.comingBackAfter(retryAfterNotFresh)};
+}
+
+TimePoint ReadRouter::expectedAt(const Member &member, const Mark &wanted, TimePoint now) const noexcept
+{
+    const auto reached = primaryMarks_.timeOf(wanted).value_or(now);
+    const auto usual = reached + member.lag.withMargin(lagMargin);
+    if (usual >= member.seenAt) {
+        return usual;
+    }
+    // It is late already: the longer it has been late, the longer it is likely to stay so.
+    return member.seenAt + (member.seenAt - usual) / 2 + member.roundTrip;
+}
+
+Microseconds ReadRouter::costOf(const Member &member) const noexcept
+{
+    const auto inFront = member.inFlight < member.slots ? 0U : member.inFlight - member.slots + 1;
+    return member.roundTrip + inFront * limits_.queuePenalty;
+}
+
+void ReadRouter::learnMark(Member &member, const Mark &mark, TimePoint now)
+{
+    if (member.known && mark > member.mark) {
+        const auto reached = primaryMarks_.timeOf(mark).value_or(now);
+        member.lag.observe(std::max(Microseconds{0}, now - reached));
+    }
+    member.known = true;
+    member.mark = mark;
+    member.seenAt = now;
+    highestSeen_ = std::max(highestSeen_, mark);
+}
+
+void ReadRouter::learnPrimaryMark(const Mark &mark, TimePoint now)
+{
+    if (primaryMarks_.size() == 0 || (mark > primaryMarks_.last().mark && now >= primaryMarks_.last().time)) {
+        primaryMarks_.append(now, mark);
+    }
+}
+
+} // namespace cardamomstep
--- a/src/sessions/readrouter.h
+++ b/src/sessions/readrouter.h
@@ -5,9 +5,11 @@
 #include "base/mark.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "connections/smoothedtime.h"
 #include "members/member.h"
 #include "sessions/freshness.h"
 #include "sessions/fwd.h"
+#include "sessions/impl/timedmarks.h"
 
 #include <cstdint>
 #include <optional>
@@ -85,8 +87,9 @@
 
     ReadNeed need_;
     std::optional<Mark> required_;
-    /// Replicas that need not be asked again: bit N is the member at index N of the router's members.
-    std::uint32_t tried_ = 0;
+    /// Members that failed this read or answered it too old; bit N stands for the member at index N of the router's members.
+    std::uint32_t failed_ = 0;
+    std::uint32_t stale_ = 0;
     /// End of waiting for a replica; set at the first wait.
     std::optional<TimePoint> waitEnd_;
 };
@@ -110,7 +113,7 @@
 /// ReadPlan plan{need};
 /// for (;;) {
 ///     const auto step = router.route(plan, now);
-///     // ConfirmPrimary: run a round, call confirm(began, primaryMark), or confirmFailed() and stop
+///     // ConfirmPrimary: run a round, call confirm(began, primaryMark), route again; where it fails, answer NoPrimary
 ///     // AskMember: execute, then verify(plan, member, reply.mark, now); true means answer, false means route again
 ///     // AwaitReplica: sleep until a report arrives or `until`
 ///     // GiveUpRead: answer the error
@@ -127,13 +130,15 @@
     {
     }
 
-    /// Replaces the list of members; what is known of members that stay is kept.
+    /// Adds members that are not known yet and marks those that are no longer listed as leaving.
+    ///
+    /// Members keep their place, so plans stay valid; a member beyond maxMembers is not used.
     void setMembers(const std::vector<MemberName> &members);
 
     /// Takes in a member's report that arrived at \a now.
     void report(const MemberReport &report, TimePoint now);
 
-    /// Takes in that \a primary is the group's primary at \a term, as the groups slice sees it.
+    /// Takes in that \a primary is the group's primary, as the groups slice sees it.
     void setPrimary(const MemberName &primary);
 
     /// Takes in that the primary is not known.
@@ -182,12 +187,8 @@
         /// Last entry known to be in its log, and when that was learned.
         Mark mark;
         TimePoint seenAt;
-        /// When this member's mark last rose.
-        TimePoint roseAt;
-        /// Smoothed entries per second that it takes in while it moves.
-        double rate = 0;
-        /// Entries by which stale answers proved the estimate too high; halves with each fresh one.
-        double shortfall = 0;
+        /// Time between the primary's and this member's reaching a mark.
+        SmoothedTime lag;
         Microseconds roundTrip{1000};
         std::uint32_t inFlight = 0;
         std::uint32_t slots = 1;
@@ -202,11 +203,14 @@
     [[nodiscard]] std::size_t indexOf(const MemberName &name) const noexcept;
     [[nodiscard]] std::optional<ReadStep> settleRequired(ReadPlan &plan, TimePoint now) const;
     [[nodiscard]] std::optional<Candidate> bestReplica(const ReadPlan &plan, TimePoint now) const;
+    [[nodiscard]] std::optional<Candidate> primaryCandidate(const ReadPlan &plan, TimePoint now) const;
     [[nodiscard]] std::optional<TimePoint> waitForReplica(ReadPlan &plan, TimePoint now) const;
-    [[nodiscard]] bool usable(std::size_t index, const ReadPlan &plan) const noexcept;
-    [[nodiscard]] std::optional<TimePoint> expectedAt(const Member &member, const Mark &wanted, TimePoint now) const noexcept;
+    [[nodiscard]] GiveUpRead giveUp(const ReadPlan &plan, TimePoint now) const;
+    [[nodiscard]] bool usable(std::size_t index, const ReadPlan &plan, TimePoint now) const noexcept;
+    [[nodiscard]] TimePoint expectedAt(const Member &member, const Mark &wanted, TimePoint now) const noexcept;
     [[nodiscard]] Microseconds costOf(const Member &member) const noexcept;
-    void learn(Member &member, const Mark &mark, TimePoint now);
+    void learnMark(Member &member, const Mark &mark, TimePoint now);
+    void learnPrimaryMark(const Mark &mark, TimePoint now);
 
     ReadRouterLimits limits_;
     FreshnessHistory history_;
@@ -214,6 +218,8 @@
     std::vector<Member> members_;
     /// Index of the primary; maxMembers when it is not known.
     std::size_t primary_ = maxMembers;
+    /// When the primary was first seen at each mark.
+    impl::TimedMarks primaryMarks_;
     Mark highestSeen_;
 };
 
--- /dev/null
+++ b/tests/sessions/test_freshness.cpp
@@ -0,0 +1,94 @@
+// Tests of the history of confirmed primary positions.
+#include "sessions/freshness.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <vector>
+
+using namespace cardamomstep;
+
+namespace {
+
+TimePoint at(std::int64_t microseconds)
+{
+    return TimePoint{Microseconds{microseconds}};
+}
+
+Mark markOf(std::uint64_t position)
+{
+    return Mark{Term{1, 1}, position};
+}
+
+} // namespace
+
+// Writes are acknowledged at random times; rounds sample the log. Whatever the history answers must cover every
+// write that was acknowledged before the asked time.
+Test(sessions, theHistoryNeverMissesAnAcknowledgedWrite)
+{
+    const bool holds = rc::check("history covers", []() {
+        FreshnessHistory history;
+        std::vector<std::pair<TimePoint, std::uint64_t>> acknowledged;
+        std::int64_t now = 0;
+        std::uint64_t position = 0;
+        const auto steps = *rc::gen::inRange(1, 400);
+        for (int step = 0; step < steps; ++step) {
+            now += *rc::gen::inRange(0, 20'000);
+            if (*rc::gen::inRange(0, 2) == 0) {
+                ++position;
+                acknowledged.emplace_back(at(now), position);
+                continue;
+            }
+            // The round began a while ago; the primary's log may have grown since.
+            const auto began = now - *rc::gen::inRange(0, 9'000);
+            history.confirm(at(began), markOf(position));
+            const auto asked = at(now - *rc::gen::inRange<std::int64_t>(0, 3'000'000));
+            const auto mark = history.markCovering(asked);
+            for (const auto &[time, written] : acknowledged) {
+                RC_ASSERT(!mark || time >= asked || markOf(written) <= *mark);
+            }
+        }
+        RC_ASSERT(history.size() <= FreshnessHistory::capacity);
+    });
+    cr_assert(holds);
+}
+
+Test(sessions, theHistoryIsFineForRecentTimesAndReachesFarBack)
+{
+    FreshnessHistory history;
+    constexpr std::int64_t hour = 3'600'000'000;
+    constexpr std::int64_t step = 10'000;
+    for (std::int64_t time = 0; time < hour; time += step) {
+        history.confirm(at(time), markOf(static_cast<std::uint64_t>(time / step)));
+    }
+    for (const std::int64_t age : {50'000, 1'000'000, 30'000'000, 600'000'000}) {
+        const auto exact = static_cast<std::uint64_t>((hour - age) / step);
+        const auto mark = history.markCovering(at(hour - age));
+        cr_assert(bool(mark));
+        cr_assert(mark->position >= exact);
+        const auto tooStrictBy = static_cast<double>(mark->position - exact) * step / static_cast<double>(age);
+        std::printf("history: age %lld ms is held to %.1f%% less\n", static_cast<long long>(age / 1000), 100 * tooStrictBy);
+        cr_assert(tooStrictBy < 0.5);
+    }
+}
+
+Test(sessions, aTimeAfterTheLastRoundHasNoAnswer)
+{
+    FreshnessHistory history;
+    cr_assert(!history.markCovering(at(0)));
+    history.confirm(at(100), markOf(5));
+    cr_assert(history.markCovering(at(100)) == markOf(5));
+    cr_assert(!history.markCovering(at(101)));
+}
+
+Test(sessions, aLaterRoundWithALowerMarkIsTheTighterProof)
+{
+    FreshnessHistory history;
+    history.confirm(at(100), markOf(12));
+    history.confirm(at(200), markOf(11));
+    cr_assert(history.markCovering(at(100)) == markOf(11));
+    history.confirm(at(150), markOf(20));
+    cr_assert(history.markCovering(at(200)) == markOf(11));
+}
