--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -28,3 +28,9 @@
 cardamomstep_library(groups base)
 cardamomstep_test(groups)
 cardamomstep_library(peer base peerwire groups configuration)
+cardamomstep_library(connections base)
+
+cardamomstep_library(sessions base)
+cardamomstep_test(sessions)
+
+cardamomstep_library(requests base)
