--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -34,3 +34,4 @@
 cardamomstep_test(sessions)
 
 cardamomstep_library(requests base)
+cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
--- a/src/requests/attempt.cpp
+++ b/src/requests/attempt.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-WriteStep WriteAttempt::start(const PrimaryView &view, TimePoint now)
+WriteStep WriteAttempt::start(const LeaderView &view, TimePoint now)
 {
     view_ = view;
     if (need_.goal == WriteGoal::Ask) {
@@ -80,7 +80,7 @@
     return giveUp();
 }
 
-WriteStep WriteAttempt::primaryChanged(const PrimaryView &view, TimePoint now)
+WriteStep WriteAttempt::primaryChanged(const LeaderView &view, TimePoint now)
 {
     const bool older = view.term.number != 0 && view.term < std::max(view_.term, passed_);
     if (answered() || older) {
