--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -131,4 +131,14 @@
     return chosen;
 }
 
+std::vector<FailureDomain> InstanceSet::domains() const
+{
+    std::vector<FailureDomain> domains;
+    domains.reserve(byDomain_.size());
+    for (const auto &[domain, candidates] : byDomain_) {
+        domains.push_back(domain);
+    }
+    return domains;
+}
+
 } // namespace cardamomstep
--- a/src/platform/watchresume.cpp
+++ b/src/platform/watchresume.cpp
@@ -8,7 +8,8 @@
     if (now < pausedUntil_) {
         return PauseUntil{pausedUntil_};
     }
-    if (listNeeded_ || complete.value == 0) {
+    const bool nothingKnown = !listed_ && complete.value == 0;
+    if (resumeLost_ || nothingKnown) {
         return ListAll{};
     }
     return WatchAfter{complete, options_.wait};
@@ -18,7 +19,8 @@
 {
     const auto answer = judged(listing.revision, complete, now);
     if (answer == StoreAnswer::Current) {
-        listNeeded_ = false;
+        listed_ = true;
+        resumeLost_ = false;
     }
     return answer;
 }
@@ -26,7 +28,7 @@
 StoreAnswer WatchResume::onChanges(const StoreChanges &changes, Revision complete, TimePoint now)
 {
     if (changes.tooOld) {
-        listNeeded_ = true;
+        resumeLost_ = true;
         return StoreAnswer::TooOld;
     }
     return judged(changes.revision, complete, now);
--- a/src/platform/watchresume.h
+++ b/src/platform/watchresume.h
@@ -82,7 +82,10 @@
     Random random_;
     Backoff backoff_{options_.backoff};
     TimePoint pausedUntil_;
-    bool listNeeded_ = false;
+    /// True until the first listing, unless peers know the configuration; an empty store has revision 0.
+    bool listed_ = false;
+    /// True after a 410.
+    bool resumeLost_ = false;
 };
 
 } // namespace cardamomstep
--- a/tests/platform/test_follow.cpp
+++ b/tests/platform/test_follow.cpp
@@ -31,6 +31,13 @@
     cr_assert(std::get<WatchAfter>(step).after == Revision{7});
 }
 
+Test(watchresume, emptyStoreIsListedOnce)
+{
+    WatchResume resume{{}, 1};
+    cr_assert(resume.onListing({}, {}, start) == StoreAnswer::Current);
+    cr_assert(std::holds_alternative<WatchAfter>(resume.next({}, start)));
+}
+
 Test(watchresume, goneLeadsToAListing)
 {
     WatchResume resume{{}, 1};
