--- a/src/owner/impl/writeflow.cpp
+++ b/src/owner/impl/writeflow.cpp
@@ -163,7 +163,7 @@
         const auto now = steadyNow();
         const auto coverage = core_.acks.coverage(mark);
         if (coverage == Coverage::Covered) {
-            return attempt.covered(mark, now);
+            return attempt.covered(mark);
         }
         const auto leader = core_.leader();
         if (coverage == Coverage::Superseded || leader.term > mark.term) {
