--- /dev/null
+++ b/src/app/ownership.cpp
@@ -0,0 +1,179 @@
+// Keeps a GroupOwner for each database group that falls to this proxy.
+#include "app/ownership.h"
+
+#include "base/hash.h"
+#include "groups/pacing.h"
+#include "logging/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+constexpr std::uint32_t membersInGroup = 3;
+constexpr double percent = 100.0;
+
+std::vector<FailureDomain> domainsOf(const DatabaseGroup &group)
+{
+    std::vector<FailureDomain> domains;
+    for (const auto &member : group.members) {
+        domains.push_back(member.failureDomain);
+    }
+    std::sort(domains.begin(), domains.end());
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
+    return domains;
+}
+
+std::vector<InstanceName> namesOf(const std::vector<LiveInstance> &instances)
+{
+    std::vector<InstanceName> names;
+    for (const auto &instance : instances) {
+        names.push_back(instance.name);
+    }
+    return names;
+}
+
+/// The guaranteed parts of the services whose intents name \a group.
+std::vector<ServiceShare> sharesFor(const Catalog &catalog, const GroupName &group)
+{
+    std::vector<ServiceShare> shares;
+    for (const auto &[key, entry] : catalog.entries()) {
+        const auto *intent = std::get_if<RoutingIntent>(&entry.record->spec);
+        if (intent == nullptr || intent->guaranteedPercent == 0) {
+            continue;
+        }
+        const bool names = std::find(intent->groups.begin(), intent->groups.end(), group) != intent->groups.end();
+        if (names) {
+            shares.push_back({intent->service, intent->guaranteedPercent / percent});
+        }
+    }
+    return shares;
+}
+
+} // namespace
+
+Ownership::Ownership(const Settings &settings, LiveInstance self, GroupEvents events, Transactions &transactions, std::uint64_t seed)
+    : settings_(settings)
+    , self_(std::move(self))
+    , events_(std::move(events))
+    , transactions_(transactions)
+    , seed_(seed)
+{
+}
+
+void Ownership::reconcile(const entry::FleetView &view)
+{
+    std::map<GroupName, Owned> ended;
+    const std::unique_lock lock(mutex_);
+    std::map<GroupName, Owned> next;
+    for (const auto &name : view.catalog->groupNames()) {
+        const auto *record = view.catalog->group(name);
+        const auto domains = domainsOf(*record);
+        const auto rank = view.instances->rank(name, domains, self_.name);
+        if (!rank) {
+            continue;
+        }
+        std::vector<LiveInstance> owners;
+        for (const auto *owner : view.instances->owners(name, domains)) {
+            owners.push_back(*owner);
+        }
+        const auto known = owned_.find(name);
+        if (known != owned_.end() && known->second.record == *record) {
+            auto owned = std::move(known->second);
+            owned_.erase(known);
+            owned.owner->setHolders(namesOf(owners), static_cast<unsigned>(*rank));
+            owned.owners = std::move(owners);
+            next.emplace(name, std::move(owned));
+            continue;
+        }
+        auto owner = makeOwner(view, name, *record, owners, static_cast<unsigned>(*rank));
+        next.emplace(name, Owned{std::move(owner), std::move(owners), *record});
+        logEvent(LogLevel::Info, "group-owned", {{"group", name.text()}, {"rank", static_cast<std::int64_t>(*rank)}});
+    }
+    for (const auto &[name, owned] : owned_) {
+        logEvent(LogLevel::Info, "group-released", {{"group", name.text()}});
+    }
+    ended.swap(owned_);
+    owned_.swap(next);
+    const auto policy = policyFor(owned_.size());
+    for (auto &[name, owned] : owned_) {
+        owned.owner->setPolicy(policy);
+    }
+}
+
+std::shared_ptr<GroupOwner> Ownership::makeOwner(const entry::FleetView &view,
+                                                 const GroupName &name,
+                                                 const DatabaseGroup &record,
+                                                 const std::vector<LiveInstance> &owners,
+                                                 unsigned rank)
+{
+    GroupOwnerOptions options;
+    options.group = name;
+    for (const auto &member : record.members) {
+        options.members.push_back({member.name, member.address});
+    }
+    options.slots = record.slots;
+    options.connections = record.connections;
+    options.shares = sharesFor(*view.catalog, name);
+    options.identity = {self_.name, self_.domain};
+    options.policy = policyFor(owned_.size() + 1);
+    options.rank = rank;
+    options.holders = namesOf(owners);
+    options.seed = seed_ ^ stableHash(name.text());
+    return std::make_shared<GroupOwner>(std::move(options), events_, transactions_);
+}
+
+GroupPolicy Ownership::policyFor(std::size_t groups) const
+{
+    GroupPolicy policy;
+    policy.silenceBound = settings_.failover.silence;
+    const auto count = static_cast<std::uint32_t>(groups);
+    PacingBudget budget;
+    budget.shortest = settings_.failover.heartbeat;
+    const auto pacing = paceReports(count, count * membersInGroup, budget);
+    policy.heartbeatInterval = pacing.heartbeatInterval;
+    policy.replicaHeartbeatFactor = pacing.replicaHeartbeatFactor;
+    return policy;
+}
+
+std::shared_ptr<GroupOwner> Ownership::find(const GroupName &group) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = owned_.find(group);
+    return found == owned_.end() ? nullptr : found->second.owner;
+}
+
+std::vector<std::shared_ptr<GroupOwner>> Ownership::all() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<std::shared_ptr<GroupOwner>> owners;
+    for (const auto &[name, owned] : owned_) {
+        owners.push_back(owned.owner);
+    }
+    return owners;
+}
+
+std::vector<LiveInstance> Ownership::otherOwners(const GroupName &group) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<LiveInstance> others;
+    const auto found = owned_.find(group);
+    if (found == owned_.end()) {
+        return others;
+    }
+    std::copy_if(found->second.owners.begin(), found->second.owners.end(), std::back_inserter(others), [this](const auto &owner) {
+        return owner.name != self_.name;
+    });
+    return others;
+}
+
+void Ownership::clear()
+{
+    std::map<GroupName, Owned> ended;
+    const std::lock_guard lock(mutex_);
+    ended.swap(owned_);
+}
+
+} // namespace cardamomstep
