--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -10,3 +10,4 @@
 cardamomstep_test(sessions)
 
 cardamomstep_library(requests base)
+cardamomstep_test(requests)
