--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -35,3 +35,4 @@
 
 cardamomstep_library(requests base)
 cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
+cardamomstep_test(requests)
