--- a/tests/requests/test_attempt.cpp
+++ b/tests/requests/test_attempt.cpp
@@ -353,10 +353,10 @@
         return found;
     }
 
-    [[nodiscard]] PrimaryView view() const
+    [[nodiscard]] LeaderView view() const
     {
         const auto *leader = primary();
-        return leader == nullptr ? PrimaryView{} : PrimaryView{leader->adopted, covered(leader->adopted, Mark{leader->adopted, 0})};
+        return leader == nullptr ? LeaderView{} : LeaderView{leader->adopted, covered(leader->adopted, Mark{leader->adopted, 0})};
     }
 
     // Runs a send at the member that leads its term, even when that member was superseded and does not know it.
