--- a/src/app/ownership.h
+++ b/src/app/ownership.h
@@ -44,8 +44,11 @@
         DatabaseGroup record;
     };
 
-    [[nodiscard]] std::shared_ptr<GroupOwner>
-    makeOwner(const entry::FleetView &view, const GroupName &name, const DatabaseGroup &record, const std::vector<LiveInstance> &owners, unsigned rank);
+    [[nodiscard]] std::shared_ptr<GroupOwner> makeOwner(const entry::FleetView &view,
+                                                        const GroupName &name,
+                                                        const DatabaseGroup &record,
+                                                        const std::vector<LiveInstance> &owners,
+                                                        unsigned rank);
     [[nodiscard]] GroupPolicy policyFor(std::size_t groups) const;
 
     const Settings &settings_;
--- /dev/null
+++ b/src/app/proxy.cpp
@@ -0,0 +1,399 @@
+// One proxy process: puts the slices together, starts and stops them.
+#include "app/proxy.h"
+
+#include "app/fleet.h"
+#include "app/ownership.h"
+#include "app/storefollower.h"
+#include "app/taskpool.h"
+#include "entry/callerapi.h"
+#include "entry/dispatcher.h"
+#include "http/server.h"
+#include "logging/log.h"
+#include "metrics/metrics.h"
+#include "peer/client.h"
+#include "peer/server.h"
+#include "platform/storeclient.h"
+
+#include <algorithm>
+#include <atomic>
+#include <random>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+constexpr std::size_t backgroundThreads = 4;
+constexpr Milliseconds peerTimeout{200};
+constexpr Milliseconds drainPoll{10};
+constexpr Milliseconds maintenancePeriod{100};
+constexpr int hexadecimalDigits = 16;
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) ^ device();
+}
+
+peer::Credentials credentialsOf(const PeerSettings &settings)
+{
+    return {settings.certificateFile, settings.keyFile, settings.caFile};
+}
+
+LiveInstance selfOf(const Settings &settings)
+{
+    return {settings.instance, settings.failureDomain, settings.peers.advertise};
+}
+
+StoreOptions storeOptionsOf(const Settings &settings, std::uint64_t seed)
+{
+    StoreOptions options;
+    options.store = settings.platform.store;
+    options.instance = settings.instance;
+    options.domain = settings.failureDomain;
+    options.seed = seed;
+    return options;
+}
+
+std::string_view nameOf(const Statement &statement)
+{
+    switch (statement.verb) {
+    case Verb::Begin:
+        return "begin";
+    case Verb::Commit:
+        return "commit";
+    case Verb::Rollback:
+        return "rollback";
+    case Verb::Outcome:
+        return "outcome";
+    case Verb::Execute:
+        break;
+    }
+    return statement.access == Access::Write ? "write" : "read";
+}
+
+} // namespace
+
+struct Proxy::Impl {
+    explicit Impl(const Settings &given);
+    ~Impl();
+
+    [[nodiscard]] Result<Success> listen();
+    void stop();
+
+    [[nodiscard]] GroupEvents groupEvents();
+    [[nodiscard]] peer::Handlers peerHandlers();
+    [[nodiscard]] entry::CallerServices callerServices();
+    [[nodiscard]] entry::Dispatcher::Sources dispatcherSources();
+
+    void askPeers(const GroupName &group);
+    void tellPeers(const GroupName &group, std::optional<Milliseconds> hold);
+    [[nodiscard]] peer::Sighting sighted(const peer::Sighting &seen);
+    void onInstances(const std::vector<ListedInstance> &listed);
+    void finished(const Statement &statement, const Answer &answer, Microseconds took);
+    [[nodiscard]] RequestId drawRequestId();
+    void reconcile();
+    void maintain();
+
+    Settings settings;
+    std::uint64_t seed = drawSeed();
+    LiveInstance self;
+    Metrics metrics;
+    Transactions transactions;
+    peer::Client peers;
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> draining{false};
+    std::atomic<std::uint64_t> nextRequest{1};
+    TaskPool tasks{backgroundThreads};
+    Fleet fleet;
+    Ownership ownership;
+    StoreClient store;
+    entry::Dispatcher dispatcher;
+    entry::CallerApi callers;
+    std::atomic<std::uint32_t> forwardedInFlight{0};
+    // Started last and stopped first.
+    std::unique_ptr<peer::Server> peerServer;
+    std::unique_ptr<http::Server> callerServer;
+    std::unique_ptr<StoreFollower> follower;
+    std::thread maintenance;
+};
+
+Proxy::Impl::Impl(const Settings &given)
+    : settings(given)
+    , self(selfOf(given))
+    , transactions(given.instance, seed)
+    , peers(credentialsOf(given.peers))
+    , fleet([this] { tasks.add([this] { reconcile(); }); })
+    , ownership(settings, self, groupEvents(), transactions, seed)
+    , store(storeOptionsOf(given, seed))
+    , dispatcher(self, dispatcherSources(), peers, transactions)
+    , callers(callerServices(), {.tokenBytes = given.limits.tokenBytes, .maxWindow = given.limits.maxWindow}, given.limits.inFlight)
+{
+}
+
+Proxy::Impl::~Impl()
+{
+    stop();
+}
+
+Result<Success> Proxy::Impl::listen()
+{
+    auto peerStarted = peer::Server::start(settings.peers.listen, credentialsOf(settings.peers), peerHandlers());
+    if (!peerStarted) {
+        return peerStarted.error();
+    }
+    peerServer = std::move(*peerStarted);
+    http::ServerOptions options;
+    options.listen = settings.callers.listen;
+    options.maxBodyBytes = settings.limits.bodyBytes;
+    options.maxThreads = settings.limits.threads;
+    options.certificateFile = settings.callers.certificateFile;
+    options.keyFile = settings.callers.keyFile;
+    auto callersStarted = http::Server::start(options, [this](const http::Request &request) { return callers.handle(request); });
+    if (!callersStarted) {
+        return callersStarted.error();
+    }
+    callerServer = std::move(*callersStarted);
+    follower = std::make_unique<StoreFollower>(
+        store, fleet, [this](const std::vector<ListedInstance> &listed) { onInstances(listed); }, seed);
+    maintenance = std::thread([this] { maintain(); });
+    return Success{};
+}
+
+void Proxy::Impl::stop()
+{
+    if (stopping.exchange(true)) {
+        return;
+    }
+    follower.reset();
+    if (maintenance.joinable()) {
+        maintenance.join();
+    }
+    callerServer.reset();
+    peerServer.reset();
+    ownership.clear();
+}
+
+// What the slices need from the process
+
+GroupEvents Proxy::Impl::groupEvents()
+{
+    GroupEvents events;
+    events.primaryChanged = [this](const GroupName &group, const PrimaryChanged &change) {
+        metrics.count("primary_changes_total{reason=\"" + std::string(toText(change.reason)) + "\"}");
+        logEvent(LogLevel::Info,
+                 "primary-changed",
+                 {{"group", group.text()},
+                  {"member", change.member.text()},
+                  {"term", toText(change.term)},
+                  {"reason", toText(change.reason)},
+                  {"previous", change.previous.text()},
+                  {"sinceDetectionUs", static_cast<std::int64_t>((steadyNow() - change.detectedAt).count())}});
+    };
+    events.note = [](const GroupName &group, const Note &note) {
+        logEvent(LogLevel::Info,
+                 toText(note.kind),
+                 {{"group", group.text()}, {"member", note.member.text()}, {"term", toText(note.term)}, {"reason", toText(note.reason)}});
+    };
+    events.askPeers = [this](const GroupName &group) {
+        tasks.add([this, group] { askPeers(group); });
+    };
+    events.holdPeers = [this](const GroupName &group, Milliseconds span) {
+        tasks.add([this, group, span] { tellPeers(group, span); });
+    };
+    return events;
+}
+
+peer::Handlers Proxy::Impl::peerHandlers()
+{
+    peer::Handlers handlers;
+    handlers.execute = [this](const Statement &statement, Microseconds remaining) {
+        const auto arrived = steadyNow();
+        ++forwardedInFlight;
+        auto answer = dispatcher.runForwarded(statement, arrived + remaining);
+        --forwardedInFlight;
+        metrics.observe("forwarded_ms{verb=\"" + std::string(nameOf(statement)) + "\"}", steadyNow() - arrived);
+        return answer;
+    };
+    handlers.ping = [](const peer::Ping & /*ping*/) {
+        return peer::Pong{true, {}};
+    };
+    handlers.push = [this](const peer::Objects &objects) {
+        (void)fleet.onDelta(objects.delta);
+        return peer::Digest{self.name, fleet.digest()};
+    };
+    handlers.fetch = [this](const peer::Digest &digest) {
+        return peer::Objects{self.name, fleet.deltaAfter(digest.digest.complete)};
+    };
+    handlers.sight = [this](const peer::Sighting &seen) {
+        return sighted(seen);
+    };
+    return handlers;
+}
+
+entry::CallerServices Proxy::Impl::callerServices()
+{
+    entry::CallerServices services;
+    services.run = [this](const Statement &statement, TimePoint deadline) {
+        return dispatcher.run(statement, deadline);
+    };
+    services.ready = [this] {
+        return fleet.view().ready;
+    };
+    services.metrics = [this] {
+        return metrics.page();
+    };
+    services.finished = [this](const Statement &statement, const Answer &answer, Microseconds took) {
+        finished(statement, answer, took);
+    };
+    services.drawRequestId = [this] {
+        return drawRequestId();
+    };
+    return services;
+}
+
+entry::Dispatcher::Sources Proxy::Impl::dispatcherSources()
+{
+    return {[this] { return fleet.view(); },
+            [this](const GroupName &group) {
+                return ownership.find(group);
+            }};
+}
+
+RequestId Proxy::Impl::drawRequestId()
+{
+    char digits[hexadecimalDigits + 1] = {};
+    (void)std::snprintf(digits, sizeof(digits), "%016llx", static_cast<unsigned long long>(seed));
+    return RequestId{settings.instance.text() + "-" + digits + "-" + std::to_string(nextRequest++)};
+}
+
+void Proxy::Impl::finished(const Statement &statement, const Answer &answer, Microseconds took)
+{
+    const std::string verb(nameOf(statement));
+    metrics.count("statements_total{verb=\"" + verb + "\",ran=\"" + std::string(toText(answer.ran)) + "\"}");
+    metrics.observe("statement_ms{verb=\"" + verb + "\"}", took);
+    if (verb == "read" && !answer.error) {
+        metrics.count(answer.fromReplica ? "reads_from_replicas_total" : "reads_from_primary_total");
+    }
+    if (!answer.error) {
+        return;
+    }
+    const std::string kind(answerRule(answer.error->kind).name);
+    metrics.count("errors_total{kind=\"" + kind + "\"}");
+    logEvent(LogLevel::Info,
+             "statement-failed",
+             {{"requestId", statement.requestId.text()},
+              {"service", statement.service.text()},
+              {"verb", verb},
+              {"kind", kind},
+              {"ran", toText(answer.ran)},
+              {"description", answer.error->description},
+              {"tookUs", static_cast<std::int64_t>(took.count())}});
+}
+
+// Other owners of a group
+
+void Proxy::Impl::askPeers(const GroupName &group)
+{
+    tellPeers(group, std::nullopt);
+}
+
+void Proxy::Impl::tellPeers(const GroupName &group, std::optional<Milliseconds> hold)
+{
+    const auto owner = ownership.find(group);
+    if (!owner) {
+        return;
+    }
+    for (const auto &other : ownership.otherOwners(group)) {
+        tasks.add([this, owner, group, other, hold] {
+            const auto result = peers.sight(other.address, {self.name, group, owner->sighting(), hold}, peerTimeout);
+            const auto *seen = std::get_if<peer::Sighting>(&result);
+            if (seen != nullptr && !seen->from.empty()) {
+                owner->onPeerSighting(seen->from, seen->seen);
+            }
+        });
+    }
+}
+
+peer::Sighting Proxy::Impl::sighted(const peer::Sighting &seen)
+{
+    const auto owner = ownership.find(seen.group);
+    if (!owner) {
+        return {};
+    }
+    if (seen.hold) {
+        owner->hold(*seen.hold);
+    }
+    owner->onPeerSighting(seen.from, seen.seen);
+    return {self.name, seen.group, owner->sighting(), std::nullopt};
+}
+
+// The fleet
+
+void Proxy::Impl::onInstances(const std::vector<ListedInstance> &listed)
+{
+    std::vector<LiveInstance> live;
+    for (const auto &instance : listed) {
+        if (instance.role == "proxy" && instance.state == ListedState::Live) {
+            live.push_back({InstanceName{instance.name}, instance.domain, instance.address});
+        }
+    }
+    fleet.setInstances(std::move(live));
+}
+
+void Proxy::Impl::reconcile()
+{
+    if (!stopping && !draining) {
+        ownership.reconcile(fleet.view());
+    }
+}
+
+void Proxy::Impl::maintain()
+{
+    while (!stopping) {
+        for (const auto &expired : transactions.expire()) {
+            if (const auto owner = ownership.find(expired.transaction.group)) {
+                owner->closeConnection(expired);
+            }
+        }
+        std::this_thread::sleep_for(maintenancePeriod);
+    }
+}
+
+// Proxy
+
+Proxy::Proxy(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{
+}
+
+Proxy::~Proxy() = default;
+
+Result<std::unique_ptr<Proxy>> Proxy::start(const Settings &settings)
+{
+    auto impl = std::make_unique<Impl>(settings);
+    const auto listening = impl->listen();
+    if (!listening) {
+        return listening.error();
+    }
+    logEvent(LogLevel::Info, "started", {{"callers", settings.callers.listen.text()}, {"peers", settings.peers.listen.text()}});
+    return std::unique_ptr<Proxy>(new Proxy(std::move(impl)));
+}
+
+bool Proxy::drain()
+{
+    impl_->draining = true;
+    impl_->callers.beginDraining();
+    const auto until = steadyNow() + impl_->settings.drain;
+    const auto busy = [this] {
+        return impl_->callers.inFlight() + impl_->forwardedInFlight + impl_->transactions.size() > 0;
+    };
+    while (busy() && steadyNow() < until) {
+        std::this_thread::sleep_for(drainPoll);
+    }
+    const bool whole = !busy();
+    logEvent(LogLevel::Info, "drained", {{"whole", whole ? "true" : "false"}});
+    return whole;
+}
+
+} // namespace cardamomstep
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -84,6 +84,14 @@
     core_->perform(core_->monitor.requestSwitchover(member, steadyNow()));
 }
 
+void GroupOwner::closeConnection(const Transactions::Use &use)
+{
+    const std::lock_guard lock(core_->mutex);
+    if (auto *member = core_->find(use.transaction.member)) {
+        member->links.close(use.lease.key);
+    }
+}
+
 PeerSighting GroupOwner::sighting() const
 {
     const std::lock_guard lock(core_->mutex);
--- a/src/owner/groupowner.h
+++ b/src/owner/groupowner.h
@@ -4,6 +4,7 @@
 #include "groups/sighting.h"
 #include "owner/fwd.h"
 #include "owner/options.h"
+#include "owner/transactions.h"
 #include "requests/transactions.h"
 #include "statements/statement.h"
 
@@ -16,8 +17,6 @@
 class GroupCore;
 }
 
-class Transactions;
-
 /// What the metrics and status pages show of a group.
 struct GroupSnapshot {
     GroupName group;
@@ -58,6 +57,9 @@
     /// Moves the primary's role away from \a member, which is to stop.
     void requestSwitchover(const MemberName &member);
 
+    /// Closes the connection of a transaction that expired.
+    void closeConnection(const Transactions::Use &use);
+
     /// What to tell the other owners.
     [[nodiscard]] PeerSighting sighting() const;
 
