--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -9,3 +9,6 @@
 
 cardamomstep_library(settings json http)
 cardamomstep_test(settings)
+
+cardamomstep_library(records json http)
+cardamomstep_test(records)
--- /dev/null
+++ b/src/records/catalog.cpp
@@ -0,0 +1,231 @@
+// Keeps records by key, takes only news, and finds the group of a key.
+#include "records/catalog.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+/// The bucket of \a hash among \a buckets, of which only few keys move when one is appended (jump consistent hash).
+std::size_t bucketOf(std::uint64_t hash, std::size_t buckets) noexcept
+{
+    constexpr std::uint64_t multiplier = 2862933555777941757ULL;
+    constexpr double scale = 2147483648.0;
+    constexpr unsigned highBits = 33;
+    std::uint64_t bucket = 0;
+    std::uint64_t next = 0;
+    while (next < buckets) {
+        bucket = next;
+        hash = hash * multiplier + 1;
+        next = static_cast<std::uint64_t>(static_cast<double>(bucket + 1) * (scale / static_cast<double>((hash >> highBits) + 1)));
+    }
+    return bucket;
+}
+
+std::size_t commonLength(std::string_view left, std::string_view right) noexcept
+{
+    const auto end = left.begin() + static_cast<std::ptrdiff_t>(std::min(left.size(), right.size()));
+    return static_cast<std::size_t>(std::mismatch(left.begin(), end, right.begin()).first - left.begin());
+}
+
+/// The rule with the longest prefix of \a key; null when none matches. \a rules are sorted by prefix.
+const PrefixRule *longestMatch(const std::vector<PrefixRule> &rules, std::string_view key)
+{
+    auto wanted = key;
+    for (;;) {
+        const auto above = std::upper_bound(
+            rules.begin(), rules.end(), wanted, [](std::string_view text, const PrefixRule &rule) { return text < rule.prefix; });
+        if (above == rules.begin()) {
+            return nullptr;
+        }
+        const auto &candidate = *std::prev(above);
+        const auto common = commonLength(candidate.prefix, wanted);
+        if (common == candidate.prefix.size()) {
+            return &candidate;
+        }
+        // Every match that is left is a prefix of both the key and the candidate.
+        wanted = wanted.substr(0, common);
+    }
+}
+
+bool prefixLess(const PrefixRule &left, const PrefixRule &right)
+{
+    return left.prefix < right.prefix;
+}
+
+} // namespace
+
+std::shared_ptr<const Catalog> Catalog::empty()
+{
+    return std::make_shared<const Catalog>();
+}
+
+std::shared_ptr<const Catalog> Catalog::fromList(const std::vector<RecordChange> &records, std::uint64_t revision)
+{
+    return Catalog().withList(records, revision);
+}
+
+std::shared_ptr<const Catalog> Catalog::with(const std::vector<RecordChange> &changes, std::uint64_t revision) const
+{
+    auto next = std::make_shared<Catalog>(*this);
+    for (const auto &change : changes) {
+        next->take(change);
+    }
+    next->revision_ = std::max(revision_, revision);
+    return next;
+}
+
+std::shared_ptr<const Catalog> Catalog::withList(const std::vector<RecordChange> &records, std::uint64_t revision) const
+{
+    auto next = std::make_shared<Catalog>(*this);
+    std::set<RecordKey> listed;
+    for (const auto &change : records) {
+        listed.insert(change.key);
+        next->take(change);
+    }
+    for (const auto &[key, entry] : entries_) {
+        if (entry.version <= revision && listed.count(key) == 0) {
+            next->remove(key);
+        }
+    }
+    next->revision_ = std::max(revision_, revision);
+    next->listRevision_ = std::max(listRevision_, revision);
+    std::erase_if(next->deletions_, [listRevision = next->listRevision_](const auto &item) { return item.second <= listRevision; });
+    return next;
+}
+
+bool Catalog::isNews(const RecordKey &key, std::uint64_t version) const
+{
+    const auto entry = entries_.find(key);
+    if (entry != entries_.end()) {
+        return version > entry->second.version;
+    }
+    const auto deletion = deletions_.find(key);
+    return version > (deletion == deletions_.end() ? listRevision_ : deletion->second);
+}
+
+Result<GroupName> Catalog::groupFor(const ServiceName &service, std::string_view key) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return Error{ErrorKind::UnknownService, "no routing intent names the service \"" + service.text() + "\""};
+    }
+    const auto *rule = longestMatch(*found->second.prefixes, key);
+    if (rule != nullptr) {
+        return rule->group;
+    }
+    const auto &groups = std::get<RoutingIntent>(found->second.record->spec).groups;
+    if (groups.empty()) {
+        return Error{ErrorKind::UnknownService, "the routing intent of \"" + service.text() + "\" names no group"};
+    }
+    return groups[bucketOf(stableHash(key), groups.size())];
+}
+
+const RoutingIntent *Catalog::intent(const ServiceName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : std::get_if<RoutingIntent>(&found->second.record->spec);
+}
+
+const DatabaseGroup *Catalog::group(const GroupName &name) const
+{
+    const auto found = groups_.find(name);
+    return found == groups_.end() ? nullptr : found->second;
+}
+
+std::vector<GroupName> Catalog::groupNames() const
+{
+    std::vector<GroupName> names;
+    names.reserve(groups_.size());
+    for (const auto &[name, group] : groups_) {
+        names.push_back(name);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+const CatalogEntry *Catalog::find(const RecordKey &key) const
+{
+    const auto found = entries_.find(key);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+void Catalog::take(const RecordChange &change)
+{
+    if (!isNews(change.key, change.version)) {
+        return;
+    }
+    remove(change.key);
+    if (change.record == nullptr) {
+        deletions_[change.key] = change.version;
+        return;
+    }
+    deletions_.erase(change.key);
+    entries_[change.key] = {change.version, change.record};
+    indexRecord(change.record);
+}
+
+void Catalog::remove(const RecordKey &key)
+{
+    const auto entry = entries_.find(key);
+    if (entry == entries_.end()) {
+        return;
+    }
+    const auto record = entry->second.record;
+    entries_.erase(entry);
+    unindexRecord(*record);
+}
+
+void Catalog::indexRecord(const std::shared_ptr<const Record> &record)
+{
+    if (const auto *group = std::get_if<DatabaseGroup>(&record->spec)) {
+        groups_[GroupName{record->name.text()}] = group;
+    } else if (record->kind() == RecordKind::RoutingIntent) {
+        indexIntent(record);
+    }
+}
+
+void Catalog::indexIntent(const std::shared_ptr<const Record> &record)
+{
+    const auto &intent = std::get<RoutingIntent>(record->spec);
+    auto &index = services_[intent.service];
+    if (index.record != nullptr && index.record->name < record->name) {
+        return;
+    }
+    auto sorted = std::make_shared<std::vector<PrefixRule>>(intent.prefixes);
+    std::sort(sorted->begin(), sorted->end(), prefixLess);
+    index = {record, std::move(sorted)};
+}
+
+void Catalog::unindexRecord(const Record &record)
+{
+    if (record.kind() == RecordKind::DatabaseGroup) {
+        groups_.erase(GroupName{record.name.text()});
+    } else if (record.kind() == RecordKind::RoutingIntent) {
+        unindexIntent(record);
+    }
+}
+
+void Catalog::unindexIntent(const Record &record)
+{
+    const auto &service = std::get<RoutingIntent>(record.spec).service;
+    const auto found = services_.find(service);
+    if (found == services_.end() || found->second.record->name != record.name) {
+        return;
+    }
+    services_.erase(found);
+    for (auto entry = entries_.lower_bound(RecordKey{RecordKind::RoutingIntent, {}});
+         entry != entries_.end() && entry->first.kind == RecordKind::RoutingIntent;
+         ++entry) {
+        if (std::get<RoutingIntent>(entry->second.record->spec).service == service) {
+            indexIntent(entry->second.record);
+        }
+    }
+}
+
+} // namespace cardamomstep
--- a/src/records/catalog.h
+++ b/src/records/catalog.h
@@ -100,16 +100,27 @@
     }
 
 private:
+    /// The intent that counts for one service, ready for lookups.
+    struct ServiceIndex {
+        std::shared_ptr<const Record> record;
+        // Sorted by prefix.
+        std::shared_ptr<const std::vector<PrefixRule>> prefixes;
+    };
+
     void take(const RecordChange &change);
-    void indexRecord(const RecordKey &key, const CatalogEntry &entry);
-    void unindexRecord(const CatalogEntry &entry);
+    void remove(const RecordKey &key);
+    void indexRecord(const std::shared_ptr<const Record> &record);
+    void indexIntent(const std::shared_ptr<const Record> &record);
+    void unindexRecord(const Record &record);
+    void unindexIntent(const Record &record);
 
     std::map<RecordKey, CatalogEntry> entries_;
     // No key is in both entries_ and deletions_.
     std::map<RecordKey, std::uint64_t> deletions_;
     // Point into the records that entries_ holds.
     std::unordered_map<GroupName, const DatabaseGroup *> groups_;
-    std::unordered_map<ServiceName, const Record *> intents_;
+    // Where two intents name one service, the one with the lowest record name counts.
+    std::unordered_map<ServiceName, ServiceIndex> services_;
     std::uint64_t revision_ = 0;
     std::uint64_t listRevision_ = 0;
 };
--- /dev/null
+++ b/src/records/forms.cpp
@@ -0,0 +1,41 @@
+// Compares a form with what the live proxies read.
+#include "records/forms.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cardamomstep {
+
+std::vector<RecordForm> ownForms()
+{
+    std::vector<RecordForm> forms;
+    for (const auto kind : allRecordKinds) {
+        forms.push_back({kind, SchemaVersion::V1});
+        forms.push_back({kind, SchemaVersion::V2});
+    }
+    return forms;
+}
+
+std::optional<Error> checkReadable(const RecordForm &form, const std::vector<ReadableForms> &live)
+{
+    constexpr std::size_t mostNamed = 10;
+    std::string names;
+    std::size_t count = 0;
+    for (const auto &proxy : live) {
+        if (std::find(proxy.forms.begin(), proxy.forms.end(), form) != proxy.forms.end()) {
+            continue;
+        }
+        if (++count <= mostNamed) {
+            names += (names.empty() ? "" : ", ") + proxy.instance.text();
+        }
+    }
+    if (count == 0) {
+        return std::nullopt;
+    }
+    if (count > mostNamed) {
+        names += " and " + std::to_string(count - mostNamed) + " more";
+    }
+    return Error{ErrorKind::UnreadableForm, toText(form) + " cannot be read by " + names};
+}
+
+} // namespace cardamomstep
