--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -39,3 +39,9 @@
 
 cardamomstep_library(records json http)
 cardamomstep_test(records)
+cardamomstep_library(entry base json http records membership owner peer)
+cardamomstep_library(app entry logging metrics platform configuration)
+
+add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
+target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
+target_link_libraries(cardamomstep PRIVATE app)
--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::size_t deltaBytes = std::size_t{1} << 20U;
-
 /// The change of a record that \a object is; null record for a deletion. Nothing for objects that are no records.
 std::optional<RecordChange> recordChange(const StoredObject &object)
 {
@@ -116,10 +114,10 @@
     return state_.digest();
 }
 
-ConfigurationDelta Fleet::deltaAfter(Revision complete) const
+ConfigurationDelta Fleet::deltaFor(const ConfigurationDigest &peer) const
 {
     const std::lock_guard lock(mutex_);
-    return state_.deltaAfter(complete, deltaBytes);
+    return state_.deltaFor(peer);
 }
 
 std::vector<StoredObject> Fleet::ofKind(const ObjectKind &kind) const
--- a/src/app/fleet.h
+++ b/src/app/fleet.h
@@ -42,8 +42,8 @@
     /// What peers compare.
     [[nodiscard]] ConfigurationDigest digest() const;
 
-    /// What a peer lacks that knows everything up to \a complete.
-    [[nodiscard]] ConfigurationDelta deltaAfter(Revision complete) const;
+    /// What a peer with the digest \a peer lacks.
+    [[nodiscard]] ConfigurationDelta deltaFor(const ConfigurationDigest &peer) const;
 
     /// Objects of a kind, sorted by name.
     [[nodiscard]] std::vector<StoredObject> ofKind(const ObjectKind &kind) const;
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -223,7 +223,7 @@
         return peer::Digest{self.name, fleet.digest()};
     };
     handlers.fetch = [this](const peer::Digest &digest) {
-        return peer::Objects{self.name, fleet.deltaAfter(digest.digest.complete)};
+        return peer::Objects{self.name, fleet.deltaFor(digest.digest)};
     };
     handlers.sight = [this](const peer::Sighting &seen) {
         return sighted(seen);
--- a/src/app/proxycommand.cpp
+++ b/src/app/proxycommand.cpp
@@ -79,7 +79,7 @@
             return exitUsage;
         }
         return runWithSettings(parsed["settings"].as<std::string>(), err);
-    } catch (const cxxopts::OptionException &fault) {
+    } catch (const cxxopts::exceptions::exception &fault) {
         err << "cardamomstep proxy: " << fault.what() << "\n";
         return exitUsage;
     }
--- a/src/peer/impl/peercodec.cpp
+++ b/src/peer/impl/peercodec.cpp
@@ -189,6 +189,11 @@
         entry->set_value(object.value);
         entry->set_deleted(object.deleted);
     }
+    for (const auto &gap : objects.delta.gaps) {
+        auto *entry = message.add_gaps();
+        entry->set_after(gap.after.value);
+        entry->set_up_to(gap.upTo.value);
+    }
     return message;
 }
 
@@ -204,6 +209,9 @@
             ObjectKind{entry.kind()}, ObjectName{entry.name()}, Revision{entry.version()}, entry.value(), entry.deleted()};
         objects.delta.changes.push_back(object);
     }
+    for (const auto &gap : message.gaps()) {
+        objects.delta.gaps.push_back({Revision{gap.after()}, Revision{gap.up_to()}});
+    }
     return objects;
 }
 
