Stand-ins for a group member, the store and the network

The system tests need a database group, the platform's store and a link that fail on order. Ruled out: one process for a whole group, since a test has to kill single members, and the thread pool of the project's own server, since limits, transactions and silence belong to one TCP connection; each connection has its own thread instead. Replicas pull the primary's log; entries carry the time of their writing, so that an entry arrives one delay after it was written, as on a streaming link.

--- /dev/null
+++ b/standins/faults.cpp
@@ -0,0 +1,191 @@
+// Reads fault orders and answers what is in force.
+#include "faults.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cardamomstep::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+using DoubleMilliseconds = std::chrono::duration<double, std::milli>;
+
+constexpr const char *answerFaultNames[] = {"loseAnswers", "truncateAnswers", "swapAnswers", "duplicateAnswers", "dropRows"};
+
+std::chrono::microseconds inMicroseconds(DoubleMilliseconds span)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(span);
+}
+
+template<typename T>
+void mergeValue(const Json &change, const char *name, T &value)
+{
+    if (change.contains(name)) {
+        value = change.at(name).get<T>();
+    }
+}
+
+void mergeSpan(const Json &change, const char *name, DoubleMilliseconds &value)
+{
+    if (change.contains(name)) {
+        value = DoubleMilliseconds{change.at(name).get<double>()};
+    }
+}
+
+Outage outageFromText(const std::string &text)
+{
+    if (text == "503") {
+        return Outage::Refusing;
+    }
+    return text == "silent" ? Outage::Silent : Outage::None;
+}
+
+} // namespace
+
+Faults::Faults(std::string domain)
+    : domain_(std::move(domain))
+{
+}
+
+void Faults::merge(const Json &change)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto &delay : change.value("delays", Json::array())) {
+        const std::pair pair{delay.at("from").get<std::string>(), delay.at("to").get<std::string>()};
+        delays_[pair] = {DoubleMilliseconds{delay.value("ms", 0.0)}, DoubleMilliseconds{delay.value("jitterMs", 0.0)}};
+    }
+    mergeValue(change, "cut", cut_);
+    mergeValue(change, "cutSilently", cutsSilently_);
+    mergeValue(change, "freeze", frozen_);
+    mergeValue(change, "stuck", stuck_);
+    mergeValue(change, "leaving", leaving_);
+    mergeValue(change, "refuseWork", refusesWork_);
+    mergeSpan(change, "lagMs", lag_);
+    mergeSpan(change, "slowMs", slow_);
+    for (const auto *name : answerFaultNames) {
+        mergeValue(change, name, answers_[name]);
+    }
+    if (change.contains("outage")) {
+        outage_ = outageFromText(change.at("outage").get<std::string>());
+    }
+    if (change.contains("seed")) {
+        random_ = Random{change.at("seed").get<std::uint64_t>()};
+    }
+    thawed_.notify_all();
+}
+
+Json Faults::state() const
+{
+    const std::lock_guard lock(mutex_);
+    return {{"cut", cut_},
+            {"cutSilently", cutsSilently_},
+            {"freeze", frozen_},
+            {"stuck", stuck_},
+            {"leaving", leaving_},
+            {"lagMs", lag_.count()},
+            {"slowMs", slow_.count()},
+            {"outage",
+             outage_ == Outage::None         ? ""
+                 : outage_ == Outage::Silent ? "silent"
+                                             : "503"},
+            {"answers", answers_}};
+}
+
+std::chrono::microseconds Faults::oneWay(const std::string &from, const std::string &to)
+{
+    const std::lock_guard lock(mutex_);
+    auto found = delays_.find({from, to});
+    if (found == delays_.end()) {
+        found = delays_.find({to, from});
+    }
+    if (found == delays_.end()) {
+        return std::chrono::microseconds{0};
+    }
+    const auto jitter = inMicroseconds(found->second.jitter);
+    const auto extra = random_.below(static_cast<std::uint64_t>(jitter.count()) + 1);
+    return inMicroseconds(found->second.base) + std::chrono::microseconds{extra};
+}
+
+void Faults::waitWhileFrozen()
+{
+    std::unique_lock lock(mutex_);
+    thawed_.wait(lock, [this] { return !frozen_; });
+}
+
+bool Faults::isCut(const std::string &name) const
+{
+    const std::lock_guard lock(mutex_);
+    return cut_.count(name) > 0;
+}
+
+bool Faults::cutsSilently() const
+{
+    const std::lock_guard lock(mutex_);
+    return cutsSilently_;
+}
+
+Outage Faults::outage() const
+{
+    const std::lock_guard lock(mutex_);
+    return outage_;
+}
+
+std::chrono::microseconds Faults::slow() const
+{
+    const std::lock_guard lock(mutex_);
+    return inMicroseconds(slow_);
+}
+
+std::chrono::microseconds Faults::lag() const
+{
+    const std::lock_guard lock(mutex_);
+    return inMicroseconds(lag_);
+}
+
+bool Faults::stuck() const
+{
+    const std::lock_guard lock(mutex_);
+    return stuck_;
+}
+
+bool Faults::leaving() const
+{
+    const std::lock_guard lock(mutex_);
+    return leaving_;
+}
+
+bool Faults::refusesWork() const
+{
+    const std::lock_guard lock(mutex_);
+    return refusesWork_;
+}
+
+bool Faults::take(const char *name)
+{
+    const auto found = answers_.find(name);
+    if (found == answers_.end() || found->second == 0) {
+        return false;
+    }
+    --found->second;
+    return true;
+}
+
+AnswerFault Faults::takeAnswerFault(bool isChange)
+{
+    const std::lock_guard lock(mutex_);
+    if (isChange && take("loseAnswers")) {
+        return AnswerFault::Lost;
+    }
+    if (take("truncateAnswers")) {
+        return AnswerFault::Truncated;
+    }
+    if (take("swapAnswers")) {
+        return AnswerFault::Swapped;
+    }
+    if (take("duplicateAnswers")) {
+        return AnswerFault::Duplicated;
+    }
+    return take("dropRows") ? AnswerFault::RowMissing : AnswerFault::None;
+}
+
+} // namespace cardamomstep::standins
--- /dev/null
+++ b/standins/memberreplication.cpp
@@ -0,0 +1,134 @@
+// The replica's side of a stand-in member: it pulls the primary's log and applies entries when they are due.
+#include "member.h"
+
+#include "http/connection.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <thread>
+
+namespace cardamomstep::standins {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds pullWait{500};
+constexpr Milliseconds pullTimeout{2000};
+constexpr Milliseconds pauseAfterFailure{20};
+constexpr int refused = 409;
+
+std::int64_t steadyMicroseconds()
+{
+    return steadyNow().time_since_epoch().count();
+}
+
+} // namespace
+
+void Member::replicate()
+{
+    std::string source;
+    Term sourceTerm;
+    std::uint64_t cursor = 0;
+    while (true) {
+        std::optional<Primary> primary;
+        Term term;
+        {
+            std::unique_lock lock(mutex_);
+            changed_.wait(lock, [this] { return state_.primary() && !state_.isPrimary() && !faults_.stuck(); });
+            primary = state_.primary();
+            term = state_.adopted();
+            if (source != primary->name || sourceTerm != term) {
+                source = primary->name;
+                sourceTerm = term;
+                cursor = state_.log().size();
+            }
+        }
+        faults_.waitWhileFrozen();
+        pullOnce(*primary, term, cursor);
+    }
+}
+
+void Member::pullOnce(const Primary &primary, const Term &term, std::uint64_t &cursor)
+{
+    thread_local std::unique_ptr<http::Connection> connection;
+    if (!connection || connection->remote().text() != primary.address) {
+        connection = std::make_unique<http::Connection>(Address{primary.address});
+    }
+    http::Request request;
+    request.path = "/v1/log";
+    request.headers["x-from"] = options_.name + "/" + options_.domain;
+    request.query["term"] = toText(term);
+    request.query["waitMs"] = std::to_string(pullWait.count());
+    request.query["member"] = options_.name;
+    {
+        const std::lock_guard lock(mutex_);
+        cursor = std::min(cursor, state_.log().size());
+        request.query["afterMark"] = toText(state_.log().markAt(cursor));
+    }
+    if (faults_.isCut(primary.name)) {
+        connection->close();
+        std::this_thread::sleep_for(pauseAfterFailure);
+        return;
+    }
+    const auto result = connection->exchange(request, pullTimeout);
+    faults_.waitWhileFrozen();
+    if (!result.response || result.response->status == refused || faults_.isCut(primary.name)) {
+        std::this_thread::sleep_for(pauseAfterFailure);
+        return;
+    }
+    const auto answer = Json::parse(result.response->body, nullptr, false);
+    if (!answer.is_discarded() && answer.value("matches", false)) {
+        take(answer, term, cursor);
+    } else if (!answer.is_discarded() && answer.contains("try")) {
+        const auto hint = parseMark(answer["try"].get<std::string>());
+        const std::lock_guard lock(mutex_);
+        cursor = hint ? state_.log().lastPositionUpTo(hint->position, hint->term) : 0;
+    }
+}
+
+void Member::take(const Json &answer, const Term &term, std::uint64_t &cursor)
+{
+    const auto primaryDomain = answer.value("domain", std::string());
+    for (const auto &json : answer["entries"]) {
+        auto entry = entryFromJson(json);
+        const auto travel = faults_.oneWay(primaryDomain, options_.domain);
+        if (!waitUntilDue(entry.writtenAt + travel.count(), term)) {
+            return;
+        }
+        const std::lock_guard lock(mutex_);
+        if (!state_.replicate(term, cursor, std::move(entry))) {
+            return;
+        }
+        ++cursor;
+        changed_.notify_all();
+    }
+    const auto last = parseMark(answer.value("last", std::string()));
+    const std::lock_guard lock(mutex_);
+    if (last && last->position == cursor && cursor < state_.log().size()) {
+        state_.dropTail(term, cursor);
+        changed_.notify_all();
+    }
+}
+
+// Waits for the entry's time, with the lag in force; false when the term has moved on.
+bool Member::waitUntilDue(std::int64_t due, const Term &term)
+{
+    std::unique_lock lock(mutex_);
+    while (true) {
+        if (state_.adopted() != term || state_.isPrimary()) {
+            return false;
+        }
+        const auto left = due + faults_.lag().count() - steadyMicroseconds();
+        if (faults_.stuck()) {
+            changed_.wait(lock);
+        } else if (left > 0) {
+            changed_.wait_for(lock, Microseconds(left));
+        } else {
+            return true;
+        }
+    }
+}
+
+} // namespace cardamomstep::standins
--- /dev/null
+++ b/standins/rows.h
@@ -0,0 +1,59 @@
+// Rows of a stand-in member and the operations on them.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace cardamomstep::standins {
+
+/// One operation of a statement.
+struct Operation {
+    std::string name;
+    std::string key;
+    nlohmann::json arguments;
+};
+
+/// Rows by key.
+using Rows = std::map<std::string, nlohmann::json>;
+
+/// Rows with changes that are not yet part of them.
+class RowView
+{
+public:
+    /// Sees \a base, which outlives the view's use, through \a changes.
+    RowView(const Rows &base, std::map<std::string, std::optional<nlohmann::json>> &changes)
+        : base_(base)
+        , changes_(changes)
+    {
+    }
+
+    /// The value at \a key.
+    [[nodiscard]] std::optional<nlohmann::json> find(const std::string &key) const;
+
+    /// All rows whose keys begin with \a prefix.
+    [[nodiscard]] Rows list(const std::string &prefix) const;
+
+    /// Changes the row \a key; no value deletes it.
+    void set(const std::string &key, std::optional<nlohmann::json> value);
+
+private:
+    const Rows &base_;
+    std::map<std::string, std::optional<nlohmann::json>> &changes_;
+};
+
+/// What an operation gave.
+struct OperationResult {
+    /// Set when the operation failed; then nothing changed.
+    std::optional<std::string> failure;
+    nlohmann::json rows = nlohmann::json::array();
+};
+
+/// Runs \a operation on \a view.
+[[nodiscard]] OperationResult run(const Operation &operation, RowView &view);
+
+/// True for an operation that only reads.
+[[nodiscard]] bool isReading(const Operation &operation);
+
+} // namespace cardamomstep::standins
