--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -10,3 +10,39 @@
 target_compile_options(standins PRIVATE -Wall -Wextra -Wpedantic -Wno-missing-field-initializers -Werror)
 target_include_directories(standins PRIVATE ${CMAKE_SOURCE_DIR}/standins)
 target_link_libraries(standins PRIVATE base http Threads::Threads)
+
+cardamomstep_library(members base http)
+
+
+# Generated code is committed and compiled as it is, without our warnings.
+add_library(peerwire STATIC ${CMAKE_SOURCE_DIR}/src/peer/generated/peer.pb.cc ${CMAKE_SOURCE_DIR}/src/peer/generated/peer.grpc.pb.cc)
+target_include_directories(peerwire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/src/peer/generated)
+target_link_libraries(peerwire PUBLIC PkgConfig::GRPC PkgConfig::PROTOBUF)
+cardamomstep_library(json base)
+cardamomstep_test(json)
+
+cardamomstep_library(settings json http)
+cardamomstep_test(settings)
+cardamomstep_library(platform base http)
+cardamomstep_test(platform)
+cardamomstep_library(membership base platform)
+cardamomstep_test(membership)
+cardamomstep_library(configuration base platform membership)
+cardamomstep_test(configuration)
+cardamomstep_library(logging base settings Boost::log)
+cardamomstep_library(metrics base)
+
+cardamomstep_library(groups base)
+cardamomstep_test(groups)
+cardamomstep_library(peer base peerwire groups configuration)
+cardamomstep_library(connections base)
+
+cardamomstep_library(sessions base)
+cardamomstep_test(sessions)
+
+cardamomstep_library(requests base)
+cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
+cardamomstep_test(requests)
+
+cardamomstep_library(records json http)
+cardamomstep_test(records)
