Groups: named failures and random interleavings in virtual time

Found by the tests and mended: owners of higher rank began a switchover of their own right after one was abandoned, so writes stayed held (owners now tell each other, and abandoned switchovers back off); a waiting report that came back early without news stopped reports for a whole heartbeat.

--- a/src/groups/monitor.cpp
+++ b/src/groups/monitor.cpp
@@ -55,7 +55,7 @@
     if (auto *watch = find(member)) {
         const bool early = now - sentAt < policy_.reportWait(isPrimary(member)) && !watch->reportAtOnce();
         const bool idle = watch->report() == report;
-        watch->reportEnded(early && idle ? now + policy_.heartbeatInterval : now);
+        watch->reportEnded(early && idle ? now + policy_.idleReportGap : now);
         learn(*watch, report, sentAt, now);
     }
     return settle(now);
@@ -154,6 +154,13 @@
     return settle(now);
 }
 
+GroupActions GroupMonitor::onPeerHold(TimePoint until, TimePoint now)
+{
+    begin(now);
+    switchoverAllowedAt_ = std::max(switchoverAllowedAt_, until + policy_.switchoverRetry + rank_ * policy_.holdLimit);
+    return settle(now);
+}
+
 TimePoint GroupMonitor::nextWake() const noexcept
 {
     return wake_;
--- a/src/groups/monitor.h
+++ b/src/groups/monitor.h
@@ -77,6 +77,9 @@
     /// \a leaving is to stop: if it leads, hand over to a replica. Asking again while one is under way does nothing.
     [[nodiscard]] GroupActions requestSwitchover(const MemberName &leaving, TimePoint now);
 
+    /// Another owner holds writes for a switchover until \a until: this one begins none of its own meanwhile.
+    [[nodiscard]] GroupActions onPeerHold(TimePoint until, TimePoint now);
+
     /// When tick() must be called at the latest.
     [[nodiscard]] TimePoint nextWake() const noexcept;
 
@@ -195,6 +198,8 @@
     Switchover switchover_;
     /// Earliest start of the next switchover.
     TimePoint switchoverAllowedAt_;
+    /// Switchovers abandoned in a row; each doubles the pause before the next.
+    unsigned abandonedSwitchovers_ = 0;
     /// A member that was asked to leave; empty when none was.
     MemberName leaving_;
 
--- a/src/groups/monitorupkeep.cpp
+++ b/src/groups/monitorupkeep.cpp
@@ -111,8 +111,13 @@
     switchover_.finish();
     if (kind == NoteKind::SwitchoverFinished) {
         leaving_ = MemberName{};
+        abandonedSwitchovers_ = 0;
+        actions_.emplace_back(ReleaseWrites{});
+        return;
     }
-    switchoverAllowedAt_ = now + policy_.switchoverRetry;
+    constexpr unsigned largestShift = 5;
+    switchoverAllowedAt_ = now + policy_.switchoverRetry * (1U << std::min(abandonedSwitchovers_, largestShift));
+    ++abandonedSwitchovers_;
     actions_.emplace_back(ReleaseWrites{});
 }
 
--- a/src/groups/policy.h
+++ b/src/groups/policy.h
@@ -20,6 +20,8 @@
     Milliseconds roundTripAllowance{15};
     /// How long past its waiting time a report may stay unanswered.
     Milliseconds probeTimeout{60};
+    /// Pause after a waiting report that came back early without any news.
+    Milliseconds idleReportGap{5};
     /// Two refused connections within this time mean that the process is gone.
     Milliseconds refusalWindow{500};
     /// Pause before asking again after a refused connection.
--- a/tests/groups/cluster.cpp
+++ b/tests/groups/cluster.cpp
@@ -107,7 +107,8 @@
     for (const auto &watcher : watchers) {
         watcher();
     }
-    for (const auto &term : ledTerms) {
+    adoptedTerms_.insert(members[member].adopted);
+    for (const auto &term : adoptedTerms_) {
         const auto adopters = std::count_if(members.begin(), members.end(), [&](const SimMember &other) { return other.adopted >= term; });
         if (static_cast<std::size_t>(adopters) >= majorityOf(members.size())) {
             majorityAdoptedAt.emplace(term, now);
@@ -167,6 +168,13 @@
     }
 }
 
+void Cluster::requestSwitchover(int member)
+{
+    for (int proxy = 0; proxy < static_cast<int>(proxies.size()); ++proxy) {
+        perform(proxy, proxies[proxy].monitor->requestSwitchover(members[member].name, now));
+    }
+}
+
 void Cluster::perform(int proxy, GroupActions actions)
 {
     for (const auto &action : actions) {
@@ -225,9 +233,20 @@
             }
         }
     } else if (std::holds_alternative<HoldWrites>(action) || std::holds_alternative<ReleaseWrites>(action)) {
-        const bool held = std::holds_alternative<HoldWrites>(action);
+        const auto *hold = std::get_if<HoldWrites>(&action);
+        const bool held = hold != nullptr;
+        const auto until = held ? hold->until : now;
         for (int peer = 0; peer < static_cast<int>(proxies.size()); ++peer) {
-            send(proxy, peer, [this, peer, held] { proxies[peer].writesHeld = held; });
+            if (peer == proxy) {
+                proxies[peer].writesHeld = held;
+                continue;
+            }
+            send(proxy, peer, [this, peer, held, until] {
+                proxies[peer].writesHeld = held;
+                if (held && proxies[peer].alive) {
+                    perform(peer, proxies[peer].monitor->onPeerHold(until, now));
+                }
+            });
         }
     }
 }
@@ -293,18 +312,34 @@
 
 void Cluster::serveReport(int member, const MemberReport &seen, Milliseconds wait, std::function<void(MemberReport)> reply)
 {
+    if (wait <= Milliseconds{0} || members[member].report() != seen) {
+        reply(members[member].report());
+        return;
+    }
+    // Answers at the first real change or at the end of the wait.
     const auto answered = std::make_shared<bool>(false);
+    const auto deadline = now + wait;
     const auto answer = [this, member, reply = std::move(reply), answered] {
         if (!std::exchange(*answered, true)) {
             reply(members[member].report());
         }
     };
-    if (wait == Milliseconds{0} || members[member].report() != seen) {
-        answer();
-        return;
-    }
-    members[member].watchers.push_back(answer);
-    at(now + wait, [this, member, answer] { awake(member, answer); });
+    watch(member, seen, answered, answer);
+    at(deadline, [this, member, answer] { awake(member, answer); });
+}
+
+void Cluster::watch(int member, const MemberReport &seen, const std::shared_ptr<bool> &answered, const std::function<void()> &answer)
+{
+    members[member].watchers.push_back([this, member, seen, answered, answer] {
+        if (*answered) {
+            return;
+        }
+        if (members[member].report() != seen) {
+            answer();
+        } else {
+            watch(member, seen, answered, answer);
+        }
+    });
 }
 
 void Cluster::pull(int member, unsigned number)
--- a/tests/groups/cluster.h
+++ b/tests/groups/cluster.h
@@ -118,6 +118,7 @@
     void heal();
     /// Heals everything, restarts everyone and lets the group come to rest.
     void settle(Milliseconds span = Milliseconds{4000});
+    void requestSwitchover(int member);
     void append(int member, const Term &term, std::uint64_t count);
 
     /// Index of the member that the first living proxy takes for primary; -1 for none.
@@ -136,7 +137,7 @@
     /// Called before each action is performed; false drops it, for example because the proxy was killed.
     std::function<bool(int proxy, const GroupAction &)> beforeAction;
     TimePoint now{Microseconds{1'000'000}};
-    /// When a majority had adopted a term, for terms that were led.
+    /// When a majority had adopted a term or a higher one.
     std::map<Term, TimePoint> majorityAdoptedAt;
     std::set<Term> ledTerms;
     std::string safetyFault;
@@ -171,6 +172,7 @@
     void order(int proxy, int member, OrderKind kind, const Term &term, int primary, Milliseconds timeout);
     TermReply serveOrder(int member, OrderKind kind, const Term &term, int primary);
     void serveReport(int member, const MemberReport &seen, Milliseconds wait, std::function<void(MemberReport)> reply);
+    void watch(int member, const MemberReport &seen, const std::shared_ptr<bool> &answered, const std::function<void()> &answer);
     void pull(int member, unsigned number);
     void learn(int proxy, const MemberReport &report);
     void checkPending(int proxy);
@@ -186,6 +188,7 @@
     std::uint64_t nextId_ = 1;
     std::set<std::pair<int, int>> cuts_;
     std::map<std::uint64_t, TimePoint> appendedAt_;
+    std::set<Term> adoptedTerms_;
 };
 
 } // namespace cardamomstep::testing
--- /dev/null
+++ b/tests/groups/test_interleavings.cpp
@@ -0,0 +1,194 @@
+// Random faults in random order, and the distribution of the failover gap over many seeds.
+#include "cluster.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdio>
+
+using namespace cardamomstep;
+using namespace cardamomstep::testing;
+
+namespace {
+
+constexpr unsigned faultKinds = 11;
+
+void inject(Cluster &cluster, Random &random)
+{
+    const auto members = cluster.members.size();
+    const int member = static_cast<int>(random.below(members));
+    const int other = static_cast<int>(random.below(members));
+    const int proxy = static_cast<int>(random.below(cluster.proxies.size()));
+    switch (random.below(faultKinds)) {
+    case 0:
+        cluster.kill(member, random.below(2) == 0);
+        break;
+    case 1:
+    case 2:
+        cluster.restart(member);
+        break;
+    case 3:
+        cluster.freeze(member);
+        break;
+    case 4:
+        cluster.wake(member);
+        break;
+    case 5:
+        cluster.cutMembers(member, other);
+        break;
+    case 6:
+        cluster.cutProxy(proxy, member);
+        break;
+    case 7:
+        cluster.cutProxies(proxy, static_cast<int>(random.below(cluster.proxies.size())));
+        break;
+    case 8:
+        cluster.members[member].lag = Milliseconds{random.below(300)};
+        break;
+    case 9:
+        cluster.members[member].leaving = !cluster.members[member].leaving;
+        break;
+    default:
+        cluster.heal();
+        break;
+    }
+}
+
+ClusterOptions randomOptions(std::uint64_t seed)
+{
+    Random random{seed};
+    ClusterOptions options;
+    options.seed = seed;
+    options.members = random.below(4) == 0 ? 5 : 3;
+    options.ranks = {
+        static_cast<unsigned>(random.below(2)), static_cast<unsigned>(random.below(3)), static_cast<unsigned>(random.below(3))};
+    options.loss = static_cast<unsigned>(random.below(3)) * 20;
+    options.jitter = Microseconds{500 + random.below(6000)};
+    return options;
+}
+
+void faults(Cluster &cluster, Random &random)
+{
+    const auto steps = 3 + random.below(12);
+    for (std::uint64_t step = 0; step < steps; ++step) {
+        cluster.run(Milliseconds{1 + random.below(random.below(2) == 0 ? 30 : 500)});
+        inject(cluster, random);
+    }
+    if (random.below(3) == 0) {
+        cluster.killProxy(static_cast<int>(random.below(2)));
+    }
+    cluster.run(Milliseconds{random.below(500)});
+}
+
+} // namespace
+
+Test(groups, noInterleavingLosesAnAcknowledgedWrite, .timeout = 120)
+{
+    const bool holds = rc::check("acknowledged writes survive, and one term acknowledges at a time", [](std::uint64_t seed) {
+        Random random{seed};
+        Cluster cluster{randomOptions(seed)};
+        faults(cluster, random);
+        for (auto &member : cluster.members) {
+            member.leaving = false;
+        }
+        cluster.settle(Milliseconds{5000});
+        const auto acked = cluster.acked.size();
+        const auto fault = cluster.fault();
+        RC_ASSERT(fault == std::string{});
+        cluster.run(Milliseconds{500});
+        RC_ASSERT(cluster.acked.size() > acked);
+    });
+    cr_assert(holds);
+}
+
+Test(groups, everyReachableMajorityGetsAPrimary, .timeout = 120)
+{
+    const bool holds = rc::check("a majority that one proxy reaches has a primary within three seconds", [](std::uint64_t seed) {
+        Random random{seed};
+        Cluster cluster{randomOptions(seed)};
+        faults(cluster, random);
+        cluster.settle(Milliseconds{0});
+        const int dead = static_cast<int>(random.below(cluster.members.size()));
+        cluster.kill(dead, random.below(2) == 0);
+        const auto settledAt = cluster.now;
+        cluster.run(Milliseconds{3000});
+        RC_ASSERT(cluster.primary() != dead);
+        RC_ASSERT(cluster.primary() >= 0);
+        RC_ASSERT(cluster.ackedSince(settledAt, cluster.term()) > 0U);
+        const auto fault = cluster.fault();
+        RC_ASSERT(fault == std::string{});
+    });
+    cr_assert(holds);
+}
+
+namespace {
+
+enum class Failure {
+    Process,
+    Host,
+    Freeze,
+    Cut,
+};
+
+/// From the failure to the confirmed primary, in milliseconds; -1 when there was none.
+double gap(std::uint64_t seed, Microseconds delay, Failure failure)
+{
+    ClusterOptions options;
+    options.seed = seed;
+    options.delay = delay;
+    Cluster cluster{options};
+    cluster.runUntilConfirmed(0, Milliseconds{1000});
+    cluster.run(Milliseconds{300 + seed % 50});
+    const auto before = cluster.term().number;
+    const int old = cluster.primary();
+    const auto failedAt = cluster.now;
+    if (failure == Failure::Freeze) {
+        cluster.freeze(old);
+    } else if (failure == Failure::Cut) {
+        cluster.cutMembers(old, (old + 1) % 3);
+        cluster.cutMembers(old, (old + 2) % 3);
+    } else {
+        cluster.kill(old, failure == Failure::Host);
+    }
+    if (!cluster.runUntilConfirmed(before, Milliseconds{5000})) {
+        return -1;
+    }
+    return std::chrono::duration<double, std::milli>(cluster.now - failedAt).count();
+}
+
+void measure(const char *name, Microseconds delay, Failure failure)
+{
+    constexpr std::uint64_t seeds = 200;
+    constexpr double medianTarget = 300;
+    constexpr double worstTarget = 1000;
+    std::vector<double> gaps;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        gaps.push_back(gap(seed, delay, failure));
+    }
+    std::sort(gaps.begin(), gaps.end());
+    const auto median = gaps[gaps.size() / 2];
+    std::printf("failover gap, %s, %.1f ms one way, %zu seeds, virtual time: least %.0f, median %.0f, p95 %.0f, worst %.0f ms\n",
+                name,
+                static_cast<double>(delay.count()) / 1000,
+                gaps.size(),
+                gaps.front(),
+                median,
+                gaps[gaps.size() * 95 / 100],
+                gaps.back());
+    std::fflush(stdout);
+    cr_expect(gaps.front() >= 0);
+    cr_expect(median <= medianTarget, "%s: median %.0f ms", name, median);
+    cr_expect(gaps.back() <= worstTarget, "%s: worst %.0f ms", name, gaps.back());
+}
+
+} // namespace
+
+Test(groups, failoverGapIsWithinItsTargets, .timeout = 120)
+{
+    for (const auto delay : {Microseconds{3500}, Microseconds{3000}}) {
+        measure("process killed", delay, Failure::Process);
+        measure("host lost", delay, Failure::Host);
+        measure("process frozen", delay, Failure::Freeze);
+    }
+}
