--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -40,3 +40,6 @@
 cardamomstep_library(requests base)
 cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
 cardamomstep_test(requests)
+
+cardamomstep_library(records json http)
+cardamomstep_test(records)
