--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -48,8 +48,6 @@
 cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
 cardamomstep_test(requests)
 
-cardamomstep_library(records json http)
-cardamomstep_test(records)
 cardamomstep_library(entry base json http records membership owner peer)
 cardamomstep_library(app entry logging metrics platform configuration)
 
