--- a/src/owner/impl/outcomeflow.cpp
+++ b/src/owner/impl/outcomeflow.cpp
@@ -129,8 +129,7 @@
 Answer OutcomeFlow::closeId()
 {
     const auto closing = closingStatement(statement_);
-    WriteFlow flow(core_, closing, session_, deadline_);
-    auto answer = flow.run();
+    auto answer = WriteFlow(core_, closing, session_, deadline_).run();
     if (!answer.error) {
         answer.ran = Ran::No;
         answer.rows = "[]";
--- a/src/owner/impl/transactionflow.cpp
+++ b/src/owner/impl/transactionflow.cpp
@@ -156,8 +156,7 @@
     if (!use) {
         return failedAnswer(use.error());
     }
-    WriteFlow flow(core_, statement_, session_, deadline_);
-    auto answer = flow.commit(*use);
+    auto answer = WriteFlow(core_, statement_, session_, deadline_).commit(*use);
     transactions_.close(statement_.transaction);
     if (answer.error) {
         // The transaction may still be open at the member: closing the connection rolls it back.
--- a/src/owner/impl/writeflow.cpp
+++ b/src/owner/impl/writeflow.cpp
@@ -130,14 +130,18 @@
 
 WriteStep WriteFlow::performAsk(WriteAttempt &attempt, const AskOutcome &ask)
 {
-    Waiter waiter;
-    {
+    if (steadyNow() < ask.notBefore) {
+        Waiter waiter;
         const WaitList::Entry entry(core_.primaryWaiters, waiter);
         waiter.wait(lock_, std::min(ask.notBefore, deadline_));
     }
+    const auto current = attempt.primaryChanged(core_.leader(), steadyNow());
+    if (!(current == WriteStep{ask})) {
+        return current;
+    }
     const auto view = core_.monitor.primary();
     if (!view || view->term != ask.term) {
-        return attempt.primaryChanged(core_.leader(), steadyNow());
+        return attempt.outcomeFailed(steadyNow());
     }
     const auto *member = core_.find(view->member);
     HttpControlLink link(member->address, core_.options.identity);
@@ -184,14 +188,18 @@
 {
     Waiter waiter;
     const WaitList::Entry entry(core_.primaryWaiters, waiter);
-    const auto wake = attempt.nextWake().value_or(deadline_);
-    const auto before = core_.leader();
-    if (steadyNow() < wake) {
+    for (;;) {
+        // The primary may have changed while the lock was released, before this thread was in the list.
+        const auto step = attempt.primaryChanged(core_.leader(), steadyNow());
+        if (!std::holds_alternative<WaitPrimary>(step)) {
+            return step;
+        }
+        const auto wake = attempt.nextWake().value_or(deadline_);
+        if (steadyNow() >= wake) {
+            return attempt.wake(steadyNow());
+        }
         waiter.wait(lock_, wake);
     }
-    const auto now = steadyNow();
-    const auto leader = core_.leader();
-    return leader == before && now >= wake ? attempt.wake(now) : attempt.primaryChanged(leader, now);
 }
 
 Answer WriteFlow::toAnswer(const AnswerWrite &result) const
