Membership view: pings, suspicion and news of the fleet

Each proxy pings one other a second; news travels on pings and answers, a whole view is fetched at the start and seldom afterwards. Schema forms travel with a proxy's news, its configuration revision with its messages.

--- a/src/membership/fwd.h
+++ b/src/membership/fwd.h
@@ -4,6 +4,8 @@
 namespace cardamomstep {
 
 struct LiveInstance;
+struct MemberUpdate;
+struct MembershipOptions;
 class InstanceSet;
 class MembershipView;
 
--- /dev/null
+++ b/src/membership/view.cpp
@@ -0,0 +1,508 @@
+// Pings, suspicion and news of the MembershipView.
+#include "membership/view.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+/// With more news than this on its way, a snapshot comes cheaper and sooner.
+constexpr std::size_t manyRumors = 100;
+/// Draws of a random proxy before giving up.
+constexpr int draws = 16;
+
+bool ownsGroups(ProxyState state)
+{
+    return state == ProxyState::Alive || state == ProxyState::Suspect;
+}
+
+bool replaces(const MemberUpdate &news, const MemberUpdate &known)
+{
+    if (news.incarnation != known.incarnation) {
+        return news.incarnation > known.incarnation;
+    }
+    return news.state > known.state;
+}
+
+bool beforeName(const KnownProxy &proxy, const InstanceName &name)
+{
+    return proxy.update->instance.name < name;
+}
+
+} // namespace
+
+MembershipView::MembershipView(MembershipOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+{
+    if (options_.forms.size() > schemaFormsMost) {
+        options_.forms.resize(schemaFormsMost);
+    }
+    MemberUpdate own{options_.self, options_.incarnation, ProxyState::Alive, options_.forms};
+    proxies_.push_back({std::make_shared<const MemberUpdate>(std::move(own)), {}, true});
+    rumors_[options_.self.name] = 0;
+}
+
+void MembershipView::onListed(const std::vector<ListedInstance> &instances, TimePoint now)
+{
+    listed_.clear();
+    listedDomains_.clear();
+    for (const auto &entry : instances) {
+        if (entry.role != "proxy") {
+            continue;
+        }
+        const InstanceName name{entry.name};
+        listed_.push_back(name);
+        listedDomains_.push_back(entry.domain);
+        const auto *known = find(name);
+        const bool leaving = entry.state == ListedState::Leaving;
+        if (known == nullptr) {
+            const auto state = leaving ? ProxyState::Leaving : ProxyState::Alive;
+            set(std::make_shared<const MemberUpdate>(MemberUpdate{{name, entry.domain, entry.address}, 0, state, {}}), now);
+        } else if (leaving && ownsGroups(known->update->state)) {
+            setState(*known, ProxyState::Leaving, now);
+        }
+    }
+    std::sort(listed_.begin(), listed_.end());
+    std::sort(listedDomains_.begin(), listedDomains_.end());
+    listedDomains_.erase(std::unique(listedDomains_.begin(), listedDomains_.end()), listedDomains_.end());
+    std::vector<InstanceName> gone;
+    for (const auto &proxy : proxies_) {
+        const auto &name = proxy.update->instance.name;
+        if (proxy.update->state == ProxyState::Leaving && !isListed(name) && !isSelf(name)) {
+            gone.push_back(name);
+        }
+    }
+    for (const auto &name : gone) {
+        setState(*find(name), ProxyState::Dead, now);
+    }
+}
+
+MembershipActions MembershipView::tick(TimePoint now)
+{
+    MembershipActions actions;
+    checkProbes(now, actions);
+    checkSuspects(now);
+    forgetDead(now);
+    fetchSnapshot(now, actions);
+    if (!nextPing_) {
+        nextPing_ = now + Milliseconds{random_.below(static_cast<std::uint64_t>(options_.period.count()))};
+    }
+    if (now >= *nextPing_) {
+        nextPing_ = std::max(*nextPing_ + options_.period, now);
+        ping(now, actions);
+    }
+    return actions;
+}
+
+MembershipMessage MembershipView::onPing(const MembershipMessage &ping, TimePoint now)
+{
+    takeMessage(ping, now);
+    const auto *sender = find(ping.from);
+    auto ack = messageTo(sender);
+    if (ping.introduce) {
+        ack.updates.push_back(ownUpdate());
+    }
+    return ack;
+}
+
+void MembershipView::onAck(PingId id, const MembershipMessage &ack, TimePoint now)
+{
+    const auto probe = probes_.find(id);
+    const bool expected = probe != probes_.end() && probe->second.target == ack.from;
+    if (expected) {
+        probes_.erase(probe);
+    }
+    takeMessage(ack, now);
+}
+
+void MembershipView::onRefused(PingId id, TimePoint now)
+{
+    const auto probe = probes_.find(id);
+    if (probe == probes_.end()) {
+        return;
+    }
+    suspect(probe->second.target, now);
+    probes_.erase(probe);
+}
+
+std::vector<SharedUpdate> MembershipView::snapshot() const
+{
+    std::vector<SharedUpdate> updates;
+    updates.reserve(proxies_.size());
+    for (const auto &proxy : proxies_) {
+        updates.push_back(proxy.update);
+    }
+    return updates;
+}
+
+void MembershipView::onSnapshot(const std::vector<SharedUpdate> &updates, TimePoint now)
+{
+    for (const auto &update : updates) {
+        take(update, now);
+    }
+}
+
+bool MembershipView::isLeaving() const
+{
+    return ownUpdate()->state == ProxyState::Leaving;
+}
+
+void MembershipView::leave(TimePoint now)
+{
+    setState(*find(options_.self.name), ProxyState::Leaving, now);
+}
+
+void MembershipView::noteConfiguration(const InstanceName &name, Revision revision)
+{
+    if (auto *proxy = findMutable(name)) {
+        proxy->configuration = std::max(proxy->configuration, revision);
+    }
+}
+
+std::shared_ptr<const InstanceSet> MembershipView::owners()
+{
+    if (ownersMadeAt_ != generation_) {
+        std::vector<LiveInstance> instances;
+        for (const auto &proxy : proxies_) {
+            if (ownsGroups(proxy.update->state)) {
+                instances.push_back(proxy.update->instance);
+            }
+        }
+        owners_ = std::make_shared<const InstanceSet>(std::move(instances));
+        ownersMadeAt_ = generation_;
+    }
+    return owners_;
+}
+
+const KnownProxy *MembershipView::find(const InstanceName &name) const
+{
+    const auto place = std::lower_bound(proxies_.begin(), proxies_.end(), name, beforeName);
+    return place == proxies_.end() || place->update->instance.name != name ? nullptr : &*place;
+}
+
+KnownProxy *MembershipView::findMutable(const InstanceName &name)
+{
+    const auto place = std::lower_bound(proxies_.begin(), proxies_.end(), name, beforeName);
+    return place == proxies_.end() || place->update->instance.name != name ? nullptr : &*place;
+}
+
+std::size_t MembershipView::listedDomains() const
+{
+    if (!listedDomains_.empty()) {
+        return listedDomains_.size();
+    }
+    std::vector<FailureDomain> domains;
+    for (const auto &proxy : proxies_) {
+        domains.push_back(proxy.update->instance.domain);
+    }
+    std::sort(domains.begin(), domains.end());
+    return static_cast<std::size_t>(std::unique(domains.begin(), domains.end()) - domains.begin());
+}
+
+std::vector<InstanceName> MembershipView::cannotRead(const SchemaForm &form) const
+{
+    std::vector<InstanceName> names;
+    for (const auto &proxy : proxies_) {
+        const auto &forms = proxy.update->forms;
+        const bool reads = std::find(forms.begin(), forms.end(), form) != forms.end();
+        if (proxy.update->state != ProxyState::Dead && !reads) {
+            names.push_back(proxy.update->instance.name);
+        }
+    }
+    return names;
+}
+
+std::vector<InstanceName> MembershipView::behind(Revision revision) const
+{
+    std::vector<InstanceName> names;
+    for (const auto &proxy : proxies_) {
+        const auto known = isSelf(proxy.update->instance.name) ? configuration_ : proxy.configuration;
+        if (proxy.update->state != ProxyState::Dead && known < revision) {
+            names.push_back(proxy.update->instance.name);
+        }
+    }
+    return names;
+}
+
+MembershipMessage MembershipView::messageTo(const KnownProxy *receiver)
+{
+    MembershipMessage message{options_.self.name, configuration_, false, {}};
+    if (receiver != nullptr) {
+        message.introduce = !receiver->heard;
+        const auto state = receiver->update->state;
+        if (state == ProxyState::Suspect || state == ProxyState::Dead) {
+            // So that it can refute.
+            message.updates.push_back(receiver->update);
+        }
+    }
+    for (auto &rumor : nextRumors()) {
+        message.updates.push_back(std::move(rumor));
+    }
+    return message;
+}
+
+std::vector<SharedUpdate> MembershipView::nextRumors()
+{
+    std::vector<std::pair<std::size_t, const InstanceName *>> order;
+    order.reserve(rumors_.size());
+    for (const auto &[name, sent] : rumors_) {
+        order.emplace_back(sent, &name);
+    }
+    const auto count = std::min(order.size(), options_.updatesPerMessage);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+    order.resize(count);
+    std::vector<SharedUpdate> updates;
+    std::vector<InstanceName> done;
+    for (const auto &[sent, name] : order) {
+        updates.push_back(find(*name)->update);
+        if (++rumors_[*name] >= rumorLimit()) {
+            done.push_back(*name);
+        }
+    }
+    for (const auto &name : done) {
+        rumors_.erase(name);
+    }
+    return updates;
+}
+
+std::size_t MembershipView::rumorLimit() const
+{
+    const auto doublings = std::ceil(std::log2(static_cast<double>(proxies_.size() + 1)));
+    return options_.retransmit * static_cast<std::size_t>(doublings);
+}
+
+const KnownProxy *MembershipView::nextTarget()
+{
+    // A dead proxy that is still listed is pinged like any other, so that two sides of a healed cut meet again.
+    return randomProxy(
+        [this](const KnownProxy &proxy) { return proxy.update->state != ProxyState::Dead || isListed(proxy.update->instance.name); });
+}
+
+const KnownProxy *MembershipView::randomAlive(const InstanceName &except)
+{
+    return randomProxy(
+        [&except](const KnownProxy &proxy) { return proxy.update->state != ProxyState::Dead && proxy.update->instance.name != except; });
+}
+
+template<typename Wanted>
+const KnownProxy *MembershipView::randomProxy(Wanted wanted)
+{
+    for (int draw = 0; draw < draws; ++draw) {
+        const auto &proxy = proxies_[random_.below(proxies_.size())];
+        if (!isSelf(proxy.update->instance.name) && wanted(proxy)) {
+            return &proxy;
+        }
+    }
+    return nullptr;
+}
+
+bool MembershipView::isListed(const InstanceName &name) const
+{
+    return std::binary_search(listed_.begin(), listed_.end(), name);
+}
+
+SharedUpdate MembershipView::ownUpdate() const
+{
+    return find(options_.self.name)->update;
+}
+
+bool MembershipView::take(const SharedUpdate &update, TimePoint now)
+{
+    const auto &name = update->instance.name;
+    if (isSelf(name)) {
+        refute(*update, now);
+        return false;
+    }
+    if (update->forms.size() > schemaFormsMost) {
+        return false;
+    }
+    const auto *known = find(name);
+    const bool isNews = known == nullptr ? update->state != ProxyState::Dead : replaces(*update, *known->update);
+    return isNews && set(update, now);
+}
+
+void MembershipView::takeMessage(const MembershipMessage &message, TimePoint now)
+{
+    for (const auto &update : message.updates) {
+        if (take(update, now)) {
+            spread(update->instance.name);
+        }
+    }
+    noteConfiguration(message.from, message.configuration);
+}
+
+void MembershipView::refute(const MemberUpdate &update, TimePoint now)
+{
+    const auto own = ownUpdate();
+    if (!replaces(update, *own)) {
+        return;
+    }
+    if (update.state == ProxyState::Leaving) {
+        // Another proxy saw it in the platform's list first.
+        leave(now);
+        return;
+    }
+    auto refuted = *own;
+    refuted.incarnation = update.incarnation + 1;
+    set(std::make_shared<const MemberUpdate>(std::move(refuted)), now);
+    spread(options_.self.name);
+}
+
+void MembershipView::spread(const InstanceName &name)
+{
+    rumors_[name] = 0;
+}
+
+bool MembershipView::set(SharedUpdate update, TimePoint now)
+{
+    const auto name = update->instance.name;
+    const auto place = std::lower_bound(proxies_.begin(), proxies_.end(), name, beforeName);
+    const bool isKnown = place != proxies_.end() && place->update->instance.name == name;
+    if (!isKnown && proxies_.size() >= options_.proxies) {
+        return false;
+    }
+    const auto state = update->state;
+    // What only the platform's list says has incarnation 0.
+    const bool heard = update->incarnation > 0;
+    bool ownersChange = ownsGroups(state);
+    if (isKnown) {
+        const auto &before = *place->update;
+        ownersChange = ownsGroups(before.state) != ownsGroups(state) || before.instance != update->instance;
+        if (before.incarnation < update->incarnation) {
+            // Perhaps a new process, which knows nothing yet.
+            place->configuration = {};
+        }
+        place->update = std::move(update);
+        place->heard = heard;
+    } else {
+        proxies_.insert(place, KnownProxy{std::move(update), {}, heard});
+    }
+    generation_ += ownersChange ? 1 : 0;
+    rumors_.erase(name);
+    suspects_.erase(name);
+    dead_.erase(name);
+    if (state == ProxyState::Suspect) {
+        suspects_[name] = now + options_.suspicion;
+    } else if (state == ProxyState::Dead) {
+        dead_[name] = now;
+    }
+    return true;
+}
+
+void MembershipView::setState(const KnownProxy &proxy, ProxyState state, TimePoint now)
+{
+    auto changed = *proxy.update;
+    changed.state = state;
+    const auto name = changed.instance.name;
+    if (set(std::make_shared<const MemberUpdate>(std::move(changed)), now)) {
+        spread(name);
+    }
+}
+
+void MembershipView::suspect(const InstanceName &name, TimePoint now)
+{
+    const auto *known = find(name);
+    if (known != nullptr && known->update->state == ProxyState::Alive) {
+        setState(*known, ProxyState::Suspect, now);
+    } else if (known != nullptr && known->update->state == ProxyState::Leaving) {
+        setState(*known, ProxyState::Dead, now);
+    }
+}
+
+void MembershipView::ping(TimePoint now, MembershipActions &actions)
+{
+    const auto *target = nextTarget();
+    if (target == nullptr) {
+        return;
+    }
+    const PingId id{++lastPing_};
+    probes_[id] = {target->update->instance.name, now, false};
+    const auto to = target->update->instance;
+    actions.emplace_back(std::in_place_type<SendPing>, SendPing{id, to, messageTo(target)});
+}
+
+void MembershipView::fetchSnapshot(TimePoint now, MembershipActions &actions)
+{
+    const auto forSize = options_.snapshotPerProxy * static_cast<Milliseconds::rep>(proxies_.size());
+    const auto every = std::max(options_.snapshotEvery, forSize);
+    const auto jitter = [this](Milliseconds span) {
+        return Milliseconds{random_.below(static_cast<std::uint64_t>(span.count()) + 1)};
+    };
+    if (!nextSnapshot_) {
+        nextSnapshot_ = now;
+    }
+    if (rumors_.size() > manyRumors) {
+        nextSnapshot_ = std::min(*nextSnapshot_, now + options_.snapshotEvery + jitter(options_.snapshotEvery));
+    }
+    if (now < *nextSnapshot_) {
+        return;
+    }
+    if (const auto *from = randomAlive(options_.self.name)) {
+        actions.emplace_back(std::in_place_type<FetchSnapshot>, FetchSnapshot{from->update->instance});
+        nextSnapshot_ = now + every / 2 + jitter(every);
+    }
+}
+
+void MembershipView::checkProbes(TimePoint now, MembershipActions &actions)
+{
+    for (auto entry = probes_.begin(); entry != probes_.end();) {
+        auto &[id, probe] = *entry;
+        if (now - probe.sentAt >= options_.answerWait) {
+            suspect(probe.target, now);
+            entry = probes_.erase(entry);
+            continue;
+        }
+        if (!probe.askedOthers && now - probe.sentAt >= options_.directWait) {
+            probe.askedOthers = true;
+            askOthers(id, probe, actions);
+        }
+        ++entry;
+    }
+}
+
+void MembershipView::askOthers(PingId id, const Probe &probe, MembershipActions &actions)
+{
+    const auto *target = find(probe.target);
+    if (target == nullptr || target->update->state == ProxyState::Dead) {
+        return;
+    }
+    const auto instance = target->update->instance;
+    for (std::size_t asked = 0; asked < options_.indirect; ++asked) {
+        if (const auto *via = randomAlive(probe.target)) {
+            actions.push_back(SendIndirectPing{id, via->update->instance, instance, messageTo(find(probe.target))});
+        }
+    }
+}
+
+void MembershipView::checkSuspects(TimePoint now)
+{
+    std::vector<InstanceName> late;
+    for (const auto &[name, deadline] : suspects_) {
+        if (now >= deadline) {
+            late.push_back(name);
+        }
+    }
+    for (const auto &name : late) {
+        setState(*find(name), ProxyState::Dead, now);
+    }
+}
+
+void MembershipView::forgetDead(TimePoint now)
+{
+    for (auto entry = dead_.begin(); entry != dead_.end();) {
+        const auto &[name, since] = *entry;
+        if (isListed(name) || now - since < options_.remember) {
+            ++entry;
+            continue;
+        }
+        rumors_.erase(name);
+        proxies_.erase(std::lower_bound(proxies_.begin(), proxies_.end(), name, beforeName));
+        entry = dead_.erase(entry);
+    }
+}
+
+} // namespace cardamomstep
