--- a/src/app/ownership.cpp
+++ b/src/app/ownership.cpp
@@ -29,6 +29,7 @@
 std::vector<InstanceName> namesOf(const std::vector<LiveInstance> &instances)
 {
     std::vector<InstanceName> names;
+    names.reserve(instances.size());
     for (const auto &instance : instances) {
         names.push_back(instance.name);
     }
--- a/src/owner/impl/writeflow.cpp
+++ b/src/owner/impl/writeflow.cpp
@@ -135,7 +135,7 @@
         const WaitList::Entry entry(core_.primaryWaiters, waiter);
         waiter.wait(lock_, std::min(ask.notBefore, deadline_));
     }
-    const auto current = attempt.primaryChanged(core_.leader(), steadyNow());
+    auto current = attempt.primaryChanged(core_.leader(), steadyNow());
     if (!(current == WriteStep{ask})) {
         return current;
     }
@@ -171,7 +171,7 @@
         }
         const auto leader = core_.leader();
         if (coverage == Coverage::Superseded || leader.term > mark.term) {
-            const auto step = attempt.primaryChanged(leader, now);
+            auto step = attempt.primaryChanged(leader, now);
             if (!std::holds_alternative<WaitCoverage>(step)) {
                 return step;
             }
@@ -190,7 +190,7 @@
     const WaitList::Entry entry(core_.primaryWaiters, waiter);
     for (;;) {
         // The primary may have changed while the lock was released, before this thread was in the list.
-        const auto step = attempt.primaryChanged(core_.leader(), steadyNow());
+        auto step = attempt.primaryChanged(core_.leader(), steadyNow());
         if (!std::holds_alternative<WaitPrimary>(step)) {
             return step;
         }
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -49,7 +49,7 @@
     impl::Channels channels;
 };
 
-Client::Client(Credentials credentials)
+Client::Client(const Credentials &credentials)
     : impl_(std::make_unique<Impl>(credentials))
 {
 }
--- a/src/peer/client.h
+++ b/src/peer/client.h
@@ -35,7 +35,7 @@
 class Client
 {
 public:
-    explicit Client(Credentials credentials);
+    explicit Client(const Credentials &credentials);
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
     ~Client();
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -58,6 +58,8 @@
         return grpc::Status::OK;
     }
 
+    // NOLINTEND(readability-identifier-naming)
+
 private:
     Handlers handlers_;
 };
