--- a/standins/rows.cpp
+++ b/standins/rows.cpp
@@ -1,4 +1,4 @@
-// The operations of a stand-in member: get, list, put, add, append and delete.
+// The operations of a stand-in member: get, list, put, add, append, delete and none.
 #include "rows.h"
 
 namespace cardamomstep::standins {
@@ -132,6 +132,9 @@
     if (operation.name == "delete") {
         return erase(operation, view);
     }
+    if (operation.name == "none") {
+        return {};
+    }
     return failure("unknown operation " + operation.name);
 }
 
