--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -74,7 +74,7 @@
         return jsonReply(tooMany, {{"error", "rate limit"}});
     }
     if (request.path == "/v1/instances") {
-        return instances();
+        return instances(senderOf(request));
     }
     if (request.path == "/v1/watch") {
         return watch(request);
@@ -234,13 +234,20 @@
     return jsonReply(ok, {{"revision", revision_}, {"events", events}});
 }
 
-Reply Store::instances()
+Reply Store::instances(const Sender &sender)
 {
     const std::lock_guard lock(mutex_);
     while (instances_.size() > 1 && instances_[1].visibleAt <= steadyMicroseconds()) {
         instances_.pop_front();
     }
-    return jsonReply(ok, {{"instances", instances_.front().instances}});
+    auto seen = instances_.front().instances;
+    for (auto &instance : seen) {
+        if (const auto paths = instance.find("addressFrom"); paths != instance.end()) {
+            instance["address"] = paths->value(sender.domain, instance.value("address", std::string()));
+            instance.erase("addressFrom");
+        }
+    }
+    return jsonReply(ok, {{"instances", seen}});
 }
 
 void Store::addState(Json &state)
--- a/standins/store.h
+++ b/standins/store.h
@@ -52,6 +52,9 @@
     };
 
     /// A list of instances and when it is to be seen.
+    ///
+    /// An instance may have `"addressFrom": {"FAILURE-DOMAIN": "IP:port"}`: callers of that failure domain get this address, which leads
+    /// through a relay.
     struct InstanceList {
         std::int64_t visibleAt = 0;
         nlohmann::json instances = nlohmann::json::array();
@@ -64,7 +67,7 @@
     [[nodiscard]] Reply put(const http::Request &request, const ObjectKey &key);
     [[nodiscard]] Reply erase(const http::Request &request, const ObjectKey &key);
     [[nodiscard]] Reply watch(const http::Request &request);
-    [[nodiscard]] Reply instances();
+    [[nodiscard]] Reply instances(const Sender &sender);
     [[nodiscard]] bool admit(bool isWrite);
     [[nodiscard]] std::uint64_t versionOf(const ObjectKey &key) const;
     void record(const nlohmann::json &event);
