--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -4,6 +4,13 @@
 cardamomstep_library(http base cxxtools-http cxxtools Threads::Threads)
 cardamomstep_test(http)
 
+# Test-only stand-ins for a database group member, the platform's store and the network.
+file(GLOB standinSources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/*.cpp)
+add_executable(standins ${standinSources})
+target_compile_options(standins PRIVATE -Wall -Wextra -Wpedantic -Wno-missing-field-initializers -Werror)
+target_include_directories(standins PRIVATE ${CMAKE_SOURCE_DIR}/standins)
+target_link_libraries(standins PRIVATE base http Threads::Threads)
+
 cardamomstep_library(members base http)
 
 
@@ -37,5 +44,9 @@
 cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
 cardamomstep_test(requests)
 
-cardamomstep_library(records json http)
-cardamomstep_test(records)
+cardamomstep_library(entry base json http records membership owner peer)
+cardamomstep_library(app entry logging metrics platform configuration)
+
+add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
+target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
+target_link_libraries(cardamomstep PRIVATE app)
