Operators' interface: records, audit trail, status, watch

Operators could not write or read records. Each change is made on a known version, so that the audit trail names both; two changes of one version have one winner, and the other is told the current version.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -23,6 +23,10 @@
 
 cardamomstep_library(settings json http)
 cardamomstep_test(settings)
+
+cardamomstep_library(records json http)
+cardamomstep_test(records)
+
 cardamomstep_library(platform base http)
 cardamomstep_test(platform)
 cardamomstep_library(membership base platform)
@@ -44,6 +48,8 @@
 cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
 cardamomstep_test(requests)
 
+cardamomstep_library(operators records platform)
+cardamomstep_test(operators)
 cardamomstep_library(entry base json http records membership owner peer)
 cardamomstep_library(app entry logging metrics platform configuration)
 
--- /dev/null
+++ b/src/operators/fwd.h
@@ -0,0 +1,13 @@
+// Forward declarations of the operators slice: the interface that operators' commands speak to.
+#pragma once
+
+namespace cardamomstep::operators {
+
+struct StoredText;
+struct ProxyView;
+struct Route;
+struct ProposedChange;
+struct HistoryFilter;
+struct OperatorOptions;
+
+} // namespace cardamomstep::operators
--- /dev/null
+++ b/src/operators/platformstore.h
@@ -0,0 +1,42 @@
+// The records in the platform's store, as the operators' interface uses them.
+#pragma once
+
+#include "base/random.h"
+#include "base/result.h"
+#include "operators/store.h"
+#include "platform/object.h"
+#include "platform/storeclient.h"
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cardamomstep::operators {
+
+/// A RecordStore over the platform's store client; safe for use by many threads.
+class PlatformStore
+{
+public:
+    /// \a client must outlive this; \a seed must differ between processes, since each write's nonce is drawn from it.
+    PlatformStore(StoreClient &client, std::uint64_t seed, Milliseconds timeout);
+
+    /// See RecordStore.
+    [[nodiscard]] Result<StoredText> get(const RecordKey &key);
+    [[nodiscard]] Result<std::vector<StoredText>> list(RecordKind kind);
+    [[nodiscard]] Result<std::uint64_t> put(const RecordKey &key, const std::string &text, const StoredText *replaced);
+    [[nodiscard]] Result<std::uint64_t> remove(const RecordKey &key, std::uint64_t version);
+
+private:
+    [[nodiscard]] WriterNonce drawNonce();
+
+    StoreClient &client_;
+    Milliseconds timeout_;
+    std::mutex mutex_;
+    // Guarded by mutex_.
+    Random random_;
+};
+
+static_assert(RecordStore<PlatformStore>);
+
+} // namespace cardamomstep::operators
