--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -50,6 +50,8 @@
 
 cardamomstep_library(operators records platform)
 cardamomstep_test(operators)
+cardamomstep_library(cli records settings http)
+cardamomstep_test(cli operators)
 cardamomstep_library(entry base json http records membership owner peer)
 cardamomstep_library(app entry logging metrics platform configuration)
 
--- /dev/null
+++ b/src/cli/fwd.h
@@ -0,0 +1,13 @@
+// Forward declarations of the cli slice: the operators' commands.
+#pragma once
+
+namespace cardamomstep::cli {
+
+enum class ExitCode : int;
+struct Subcommand;
+struct ClientOptions;
+struct Reply;
+class CommandLine;
+class OperatorClient;
+
+} // namespace cardamomstep::cli
--- /dev/null
+++ b/src/cli/impl/changeresult.h
@@ -0,0 +1,29 @@
+// The proxy's answer to a change of a record, checked and typed.
+#pragma once
+
+#include "base/result.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cardamomstep::cli::impl {
+
+/// What came of a change.
+struct ChangeResult {
+    /// False for a dry run and for a record that was as wanted already.
+    bool written = false;
+    std::uint64_t fromVersion = 0;
+    std::uint64_t version = 0;
+    /// An array of objects with "field" and, where there are such, "before" and "after".
+    nlohmann::json changes = nlohmann::json::array();
+    std::vector<std::string> unknownFields;
+    bool auditMissing = false;
+};
+
+/// Reads \a answer; the error is ErrorKind::CorruptAnswer, which leaves open whether the change was made.
+[[nodiscard]] Result<ChangeResult> readChangeResult(const nlohmann::json &answer);
+
+} // namespace cardamomstep::cli::impl
--- /dev/null
+++ b/src/cli/impl/commands.h
@@ -0,0 +1,17 @@
+// The operators' subcommands; each takes its command line and streams and returns an exit code.
+#pragma once
+
+#include <ostream>
+
+namespace cardamomstep::cli::impl {
+
+int runApply(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runDiff(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runGet(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runDelete(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runStatus(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runWatch(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runHistory(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runCheckSettings(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+
+} // namespace cardamomstep::cli::impl
--- /dev/null
+++ b/src/cli/impl/follow.cpp
@@ -0,0 +1,243 @@
+// The subcommands `status`, `watch` and `history`.
+#include "cli/client.h"
+#include "cli/commandline.h"
+#include "cli/exitcode.h"
+#include "cli/impl/commands.h"
+#include "cli/impl/output.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cardamomstep::cli::impl {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Milliseconds watchWait{20'000};
+
+bool isOutputForm(const std::string &text)
+{
+    return text == "table" || text == "json";
+}
+
+void writeStatus(std::ostream &out, const Json &status)
+{
+    out << "asked " << cell(status, "instance") << ", revision " << cell(status, "revision") << ", " << cell(status, "proxyCount")
+        << " proxies\n";
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &proxy : status.value("proxies", Json::array())) {
+        rows.push_back({cell(proxy, "instance"),
+                        cell(proxy, "failureDomain"),
+                        cell(proxy, "state"),
+                        cell(proxy, "revision"),
+                        cell(proxy, "silenceMs") + " ms"});
+    }
+    writeTable(out, {"INSTANCE", "FAILURE DOMAIN", "STATE", "REVISION", "LAST HEARD"}, rows);
+}
+
+void writeHistory(std::ostream &out, const Json &entries)
+{
+    for (const auto &entry : entries) {
+        out << timeText(entry.value("atMs", std::int64_t{0})) << " " << (cell(entry, "who").empty() ? "(unnamed)" : cell(entry, "who"))
+            << " " << (entry.value("deleted", false) ? "deleted " : "changed ") << cell(entry, "kind") << "/" << cell(entry, "name")
+            << " version " << cell(entry, "fromVersion") << " -> " << cell(entry, "toVersion") << "\n";
+        writeChanges(out, entry.value("changes", Json::array()));
+        if (entry.value("truncated", false)) {
+            out << "  (more changes were left out)\n";
+        }
+    }
+}
+
+/// Milliseconds since 1970 for "90s", "15m", "2h" or "3d" before now, or a plain number of milliseconds since 1970.
+std::optional<std::int64_t> readSince(const std::string &text)
+{
+    constexpr std::size_t mostDigits = 15;
+    const auto digits = text.find_first_not_of("0123456789");
+    const auto unit = digits == std::string::npos ? std::string() : text.substr(digits);
+    const auto number = text.substr(0, digits);
+    if (number.empty() || number.size() > mostDigits) {
+        return std::nullopt;
+    }
+    const auto count = std::stoll(number);
+    if (unit.empty()) {
+        return count;
+    }
+    const auto now = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    constexpr std::int64_t second = 1000;
+    constexpr std::int64_t minute = 60 * second;
+    constexpr std::int64_t hour = 60 * minute;
+    constexpr std::int64_t day = 24 * hour;
+    const auto factor = unit == "s" ? second : unit == "m" ? minute : unit == "h" ? hour : unit == "d" ? day : 0;
+    if (factor == 0) {
+        return std::nullopt;
+    }
+    return count > now / factor ? 0 : now - count * factor;
+}
+
+/// The revision to watch from; the current one unless the command line names one.
+Result<std::uint64_t> firstRevision(OperatorClient &client, std::optional<std::uint64_t> given)
+{
+    if (given) {
+        return *given;
+    }
+    Question question;
+    question.path = "/v1/status";
+    question.query = {{"behind", "0"}};
+    const auto status = client.ask(question);
+    if (!status) {
+        return status.faults().front();
+    }
+    return status->value("revision", std::uint64_t{0});
+}
+
+Question watchQuestion(std::uint64_t after)
+{
+    Question question;
+    question.path = "/v1/watch";
+    question.query = {{"after", std::to_string(after)}, {"waitMs", std::to_string(watchWait.count())}};
+    question.wait = watchWait;
+    return question;
+}
+
+/// Writes each change on a line until \a count are written or the reader is gone.
+int follow(OperatorClient &client, std::uint64_t after, std::uint64_t count, std::ostream &out, std::ostream &err)
+{
+    std::uint64_t written = 0;
+    while (out && written < count) {
+        const auto answer = client.ask(watchQuestion(after));
+        if (!answer) {
+            return reportFaults(err, "watch ended; go on with --after " + std::to_string(after), answer.faults());
+        }
+        if (answer->value("reset", false)) {
+            out << Json{{"reset", true}, {"revision", answer->value("revision", std::uint64_t{0})}} << "\n";
+        }
+        for (const auto &change : answer->value("changes", Json::array())) {
+            if (written < count) {
+                out << change.dump(-1, ' ', false, Json::error_handler_t::replace) << "\n";
+                ++written;
+            }
+        }
+        out.flush();
+        after = answer->value("revision", after);
+    }
+    return toInt(ExitCode::Ok);
+}
+
+} // namespace
+
+int runStatus(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
+{
+    CommandLine line({"status", "Shows the live proxies and the configuration that each has in force.", "", "cardamomstep status -o json"});
+    addClientOptions(line);
+    line.add("o,output", "form of the output: table or json", "FORM", "table");
+    line.add("behind", "show only proxies that have not come up to this revision", "REVISION");
+    if (const auto done = line.parse(argc, argv, {}, out, err)) {
+        return *done;
+    }
+    const auto behind = line.number("behind");
+    if (!behind || !isOutputForm(line.text("output"))) {
+        return line.usageError(err, !behind ? behind.error().description : "--output: expected table or json");
+    }
+    auto options = readClientOptions(line);
+    if (!options) {
+        return reportFaults(err, "", options.faults());
+    }
+    OperatorClient client(std::move(*options));
+    Question question;
+    question.path = "/v1/status";
+    if (*behind) {
+        question.query["behind"] = std::to_string(**behind);
+    }
+    const auto status = client.ask(question);
+    if (!status) {
+        return reportFaults(err, "", status.faults());
+    }
+    if (line.text("output") == "json") {
+        writeJson(out, *status);
+    } else {
+        writeStatus(out, *status);
+    }
+    return toInt(ExitCode::Ok);
+}
+
+int runWatch(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
+{
+    CommandLine line(
+        {"watch",
+         "Follows changes of records, one JSON object a line. A line {\"reset\":true} says that some changes can no longer be\n"
+         "told: read the records anew.",
+         "",
+         "cardamomstep watch --count 1"});
+    addClientOptions(line);
+    line.add("after", "begin after this revision instead of now", "REVISION");
+    line.add("count", "end after this many changes", "N");
+    if (const auto done = line.parse(argc, argv, {}, out, err)) {
+        return *done;
+    }
+    const auto after = line.number("after");
+    const auto count = line.number("count");
+    if (!after || !count) {
+        return line.usageError(err, !after ? after.error().description : count.error().description);
+    }
+    auto options = readClientOptions(line);
+    if (!options) {
+        return reportFaults(err, "", options.faults());
+    }
+    OperatorClient client(std::move(*options));
+    const auto first = firstRevision(client, *after);
+    if (!first) {
+        return reportFaults(err, "", {first.error()});
+    }
+    return follow(client, *first, count->value_or(UINT64_MAX), out, err);
+}
+
+int runHistory(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
+{
+    CommandLine line({"history",
+                      "Shows who changed what and when, newest first.",
+                      "",
+                      "cardamomstep history --kind DatabaseGroup --name ledger-1 --since 2h"});
+    addClientOptions(line);
+    line.add("kind", "only records of this kind", "KIND");
+    line.add("name", "only the record of this name", "NAME");
+    line.add("who", "only changes by this operator", "NAME");
+    line.add("since", "only changes of the last 90s, 15m, 2h or 3d, or since a time in milliseconds since 1970", "TIME");
+    line.add("limit", "most entries, up to 1000", "N", "50");
+    line.add("o,output", "form of the output: table or json", "FORM", "table");
+    if (const auto done = line.parse(argc, argv, {}, out, err)) {
+        return *done;
+    }
+    Question question;
+    question.path = "/v1/history";
+    for (const char *name : {"kind", "name", "who", "limit"}) {
+        question.query[name] = line.text(name);
+    }
+    const auto since = readSince(line.text("since"));
+    if (line.has("since") && !since) {
+        return line.usageError(err, "--since: expected 90s, 15m, 2h, 3d or milliseconds since 1970");
+    }
+    question.query["since"] = std::to_string(since.value_or(0));
+    if (!isOutputForm(line.text("output"))) {
+        return line.usageError(err, "--output: expected table or json");
+    }
+    auto options = readClientOptions(line);
+    if (!options) {
+        return reportFaults(err, "", options.faults());
+    }
+    const auto history = OperatorClient(std::move(*options)).ask(question);
+    if (!history) {
+        return reportFaults(err, "", history.faults());
+    }
+    const auto entries = history->value("entries", Json::array());
+    if (line.text("output") == "json") {
+        writeJson(out, entries);
+    } else {
+        writeHistory(out, entries);
+    }
+    return toInt(ExitCode::Ok);
+}
+
+} // namespace cardamomstep::cli::impl
--- /dev/null
+++ b/src/cli/impl/wait.cpp
@@ -0,0 +1,47 @@
+// Asks for the proxies that are behind a revision until there are none.
+#include "cli/impl/wait.h"
+
+#include "cli/impl/output.h"
+
+#include <string>
+#include <thread>
+
+namespace cardamomstep::cli::impl {
+
+namespace {
+
+constexpr Milliseconds pause{200};
+constexpr std::size_t mostNamed = 10;
+
+std::string namesOf(const nlohmann::json &proxies)
+{
+    std::string names;
+    for (std::size_t index = 0; index < proxies.size() && index < mostNamed; ++index) {
+        names += (names.empty() ? "" : ", ") + cell(proxies[index], "instance");
+    }
+    return proxies.size() > mostNamed ? names + " and " + std::to_string(proxies.size() - mostNamed) + " more" : names;
+}
+
+} // namespace
+
+ExitCode waitInForce(OperatorClient &client, std::uint64_t revision, Milliseconds timeout, std::ostream &err)
+{
+    const auto deadline = steadyNow() + timeout;
+    Question question;
+    question.path = "/v1/status";
+    question.query = {{"behind", std::to_string(revision)}};
+    for (;;) {
+        const auto status = client.ask(question);
+        if (status && status->contains("proxies") && (*status)["proxies"].empty()) {
+            return ExitCode::Ok;
+        }
+        if (steadyNow() + pause > deadline) {
+            const auto lagging = status ? "on " + namesOf(status->value("proxies", nlohmann::json::array())) : "as far as can be seen";
+            err << "cardamomstep: accepted, but revision " << revision << " is not in force yet " << lagging << "\n";
+            return ExitCode::Failed;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+}
+
+} // namespace cardamomstep::cli::impl
--- a/src/operators/answers.cpp
+++ b/src/operators/answers.cpp
@@ -221,12 +221,19 @@
     return toResponse(200, body);
 }
 
-http::Response statusAnswer(const InstanceName &self, const Catalog &catalog, const std::vector<ProxyView> &proxies)
+http::Response
+statusAnswer(const InstanceName &self, const Catalog &catalog, const std::vector<ProxyView> &proxies, const http::Request &request)
 {
-    Json body{{"instance", self.text()}, {"revision", catalog.revision()}};
+    const auto behind = numberParameter(request, "behind", UINT64_MAX, UINT64_MAX);
+    if (!behind) {
+        return failureAnswer({behind.error()});
+    }
+    Json body{{"instance", self.text()}, {"revision", catalog.revision()}, {"proxyCount", proxies.size()}};
     auto list = Json::array();
     for (const auto &proxy : proxies) {
-        list.push_back(toJson(proxy));
+        if (proxy.revision < *behind) {
+            list.push_back(toJson(proxy));
+        }
     }
     body["proxies"] = std::move(list);
     std::map<std::string, std::uint64_t> counts;
--- a/src/operators/answers.h
+++ b/src/operators/answers.h
@@ -48,8 +48,9 @@
 /// A page of the records of the kind in \a key, from the names after the query's `after`, at most the query's `limit`.
 [[nodiscard]] http::Response listAnswer(const Catalog &catalog, RecordKind kind, const http::Request &request);
 
-/// State of the fleet.
-[[nodiscard]] http::Response statusAnswer(const InstanceName &self, const Catalog &catalog, const std::vector<ProxyView> &proxies);
+/// State of the fleet; only the proxies whose configuration has not come up to the query's `behind`, when that is given.
+[[nodiscard]] http::Response
+statusAnswer(const InstanceName &self, const Catalog &catalog, const std::vector<ProxyView> &proxies, const http::Request &request);
 
 /// Changes of records after \a after, at most maxPage of them; the answer's revision is what to ask after next.
 ///
--- a/src/operators/api.h
+++ b/src/operators/api.h
@@ -84,7 +84,7 @@
         case Action::Status:
             break;
         }
-        return statusAnswer(environment_.self(), *environment_.catalog(), environment_.proxies());
+        return statusAnswer(environment_.self(), *environment_.catalog(), environment_.proxies(), request);
     }
 
     [[nodiscard]] bool isInForce(std::uint64_t revision)
--- /dev/null
+++ b/tests/cli/test_cli.cpp
@@ -0,0 +1,342 @@
+// Tests of the operators' commands against an in-process proxy: help, usage, exit codes, races and lost answers.
+#include "cli/run.h"
+#include "http/server.h"
+#include "operators/fakes.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace cardamomstep;
+using Json = nlohmann::json;
+using test::groupText;
+
+namespace {
+
+struct Run {
+    int code = 0;
+    std::string out;
+    std::string err;
+};
+
+Run run(const std::vector<std::string> &arguments, const std::vector<cli::Subcommand> &others = {})
+{
+    std::vector<const char *> argv{"cardamomstep"};
+    for (const auto &argument : arguments) {
+        argv.push_back(argument.c_str());
+    }
+    std::ostringstream out;
+    std::ostringstream err;
+    const int code = cli::runCommand(static_cast<int>(argv.size()), argv.data(), out, err, others);
+    return {code, out.str(), err.str()};
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// A proxy that answers operators on the address \a address, which the environment names.
+struct Proxy {
+    explicit Proxy(const std::string &address)
+        : server(std::move(*http::Server::start({.listen = Address{address}}, [this](const http::Request &request) {
+            return intercept ? intercept(request) : api.handle(request);
+        })))
+    {
+        setenv("CARDAMOMSTEP_ADDRESS", address.c_str(), 1);
+        setenv("CARDAMOMSTEP_TOKEN", test::operatorToken.c_str(), 1);
+        setenv("CARDAMOMSTEP_OPERATOR", "ana", 1);
+    }
+
+    test::MemoryStore store;
+    test::FakeProxy fake{store, {}};
+    test::FakeApi api{store, fake, {test::operatorToken, Milliseconds{10}}};
+    std::function<http::Response(const http::Request &)> intercept;
+    std::unique_ptr<http::Server> server;
+};
+
+/// A folder that is gone after the test.
+struct Folder {
+    Folder()
+    {
+        char name[] = "/tmp/cardamomstep-test-XXXXXX";
+        path = mkdtemp(name);
+    }
+    ~Folder()
+    {
+        std::filesystem::remove_all(path);
+    }
+    std::string write(const std::string &name, const std::string &text) const
+    {
+        const auto file = path + "/" + name;
+        std::ofstream(file) << text;
+        return file;
+    }
+    std::string path;
+};
+
+const char *const commands[] = {"apply", "get", "diff", "delete", "status", "watch", "history", "check-settings"};
+
+} // namespace
+
+Test(cli, everyCommandHasHelpWithAnExample)
+{
+    const auto help = run({"--help"});
+    cr_assert(help.code == 0 && help.err.empty());
+    for (const std::string command : commands) {
+        cr_assert(contains(help.out, command));
+        const auto own = run({command, "--help"});
+        cr_assert(own.code == 0 && own.err.empty());
+        cr_assert(contains(own.out, "Example:\n  cardamomstep " + command), "%s", own.out.c_str());
+        cr_assert(!contains(own.out, "hidden"));
+    }
+    cr_assert(run({}).code == 2);
+}
+
+Test(cli, wrongUsageNamesTheNearestWord)
+{
+    const auto command = run({"aply"});
+    cr_assert(command.code == 2 && command.out.empty() && contains(command.err, "did you mean \"apply\"?"));
+    const auto option = run({"apply", "--dryrun", "-f", "x"});
+    cr_assert(option.code == 2 && contains(option.err, "did you mean \"--dry-run\"?"), "%s", option.err.c_str());
+    const auto kind = run({"get", "DatabaseGroups"});
+    cr_assert(kind.code == 2 && contains(kind.err, "did you mean \"DatabaseGroup\"?"));
+}
+
+Test(cli, wrongUsageExitsWithTwo)
+{
+    const std::vector<std::vector<std::string>> wrong{{"get"},
+                                                      {"get", "DatabaseGroup", "a", "b"},
+                                                      {"get", "DatabaseGroup", "-o", "xml"},
+                                                      {"apply"},
+                                                      {"apply", "-f"},
+                                                      {"apply", "-f", "x", "--expect", "new"},
+                                                      {"apply", "-f", "x", "--wait-seconds", "99999"},
+                                                      {"delete", "StopPlan"},
+                                                      {"history", "--since", "yesterday"},
+                                                      {"watch", "--count", "-1"},
+                                                      {"status", "extra"},
+                                                      {"status", "-o", "record"},
+                                                      {"check-settings"},
+                                                      {"status", "--address", "localhost", "--token", test::operatorToken},
+                                                      {"status", "--client", "/nonexistent"},
+                                                      {"status"}};
+    for (const auto &arguments : wrong) {
+        const auto result = run(arguments);
+        cr_assert(result.code == 2 && result.out.empty() && !result.err.empty(), "%s: %d", arguments.back().c_str(), result.code);
+    }
+}
+
+Test(cli, otherSubcommandsAreRun)
+{
+    const auto result =
+        run({"proxy", "--x"}, {{"proxy", "run a proxy", [](int argc, const char *const *argv, std::ostream &out, std::ostream &) {
+                                    out << argc << argv[0] << argv[1];
+                                    return 7;
+                                }}});
+    cr_assert(result.code == 7 && result.out == "2proxy--x");
+}
+
+Test(cli, applyCreatesChangesAndReadsBack)
+{
+    Proxy proxy("127.0.0.1:18301");
+    const Folder folder;
+    const auto file = folder.write("g.json", groupText("g", 3));
+    const auto tried = run({"apply", "-f", file, "--dry-run"});
+    cr_assert(tried.code == 0 && contains(tried.out, "DatabaseGroup/g: would change"));
+    cr_assert(run({"get", "DatabaseGroup", "g"}).code == 1);
+    const auto created = run({"apply", "-f", file, "--wait"});
+    cr_assert(created.code == 0 && contains(created.out, "DatabaseGroup/g: version 1 ("), "%s%s", created.out.c_str(), created.err.c_str());
+    cr_assert(created.err.empty());
+    cr_assert(run({"apply", "-f", file}).out == "DatabaseGroup/g: unchanged at version 1\n");
+    folder.write("g.json", groupText("g", 4));
+    cr_assert(run({"diff", "-f", file}).out == "DatabaseGroup/g\n  spec.slots: 3 -> 4\n");
+    cr_assert(run({"diff", "-f", file, "--exit-code"}).code == 1);
+    cr_assert(run({"apply", "-f", file, "--expect", "1"}).code == 0);
+    cr_assert(run({"diff", "-f", file, "--exit-code"}).code == 0);
+    const auto record = run({"get", "DatabaseGroup", "g", "-o", "record"});
+    cr_assert(Json::parse(record.out)["spec"]["slots"] == 4);
+    folder.write("again.json", record.out);
+    cr_assert(contains(run({"apply", "-f", folder.path + "/again.json"}).out, "unchanged"));
+    cr_assert(contains(run({"get", "DatabaseGroup"}).out, "DatabaseGroup  g     "));
+    cr_assert(Json::parse(run({"get", "DatabaseGroup", "-o", "json"}).out).size() == 1);
+    cr_assert(contains(run({"history", "--name", "g", "--since", "365000d"}).out, "ana changed DatabaseGroup/g version 1 -> "));
+    cr_assert(run({"delete", "DatabaseGroup", "g"}).code == 0);
+    cr_assert(run({"get", "DatabaseGroup", "g"}).code == 1);
+}
+
+Test(cli, conflictsTellTheCurrentVersion)
+{
+    Proxy proxy("127.0.0.1:18302");
+    const Folder folder;
+    const auto file = folder.write("g.json", groupText("g", 3));
+    cr_assert(run({"apply", "-f", file, "--expect", "0"}).code == 0);
+    folder.write("g.json", groupText("g", 4));
+    const auto late = run({"apply", "-f", file, "--expect", "0"});
+    cr_assert(late.code == 3 && late.out.empty() && contains(late.err, "(current version 1)"), "%s", late.err.c_str());
+    cr_assert(run({"delete", "DatabaseGroup", "g", "--expect", "9"}).code == 3);
+}
+
+Test(cli, twoAppliesOfOneVersionHaveOneWinner)
+{
+    Proxy proxy("127.0.0.1:18303");
+    const Folder folder;
+    cr_assert(run({"apply", "-f", folder.write("g.json", groupText("g", 1))}).code == 0);
+    const auto first = folder.write("a.json", groupText("g", 2));
+    const auto second = folder.write("b.json", groupText("g", 3));
+    Run runs[2];
+    std::thread one([&] { runs[0] = run({"apply", "-f", first, "--expect", "1"}); });
+    std::thread two([&] { runs[1] = run({"apply", "-f", second, "--expect", "1"}); });
+    one.join();
+    two.join();
+    cr_assert((runs[0].code == 0 && runs[1].code == 3) || (runs[0].code == 3 && runs[1].code == 0));
+    const auto &loser = runs[0].code == 3 ? runs[0] : runs[1];
+    const auto current = proxy.store.catalog()->find({RecordKind::DatabaseGroup, RecordName{"g"}})->version;
+    cr_assert(contains(loser.err, "(current version " + std::to_string(current) + ")"));
+}
+
+Test(cli, aFolderIsAppliedInOrderAndStopsAtTheFirstRefusal)
+{
+    Proxy proxy("127.0.0.1:18304");
+    const Folder folder;
+    folder.write("a.json", R"({"kind":"RoutingIntent","name":"r","schema":"v1","spec":{"service":"s","groups":["g"]}})");
+    folder.write("b.json", "[" + groupText("g", 1) + "," + groupText("h", 1, "v2") + "]");
+    folder.write("c.txt", "not a record");
+    const auto result = run({"apply", "-f", folder.path});
+    cr_assert(result.code == 0, "%s", result.err.c_str());
+    cr_assert(result.out.find("RoutingIntent/r") > result.out.find("DatabaseGroup/h"));
+    folder.write("a.json", R"({"kind":"RoutingIntent","name":"r","schema":"v1","spec":{"service":"s","groups":["none"]}})");
+    folder.write("d.json", R"({"kind":"StopPlan","name":"p","schema":"v1","spec":{"instance":"i"}})");
+    const auto refused = run({"apply", "-f", folder.path});
+    cr_assert(refused.code == 1 && contains(refused.err, "a.json: RoutingIntent/r: "), "%s", refused.err.c_str());
+    cr_assert(contains(refused.err, "2 done, 1 not tried"));
+    cr_assert(run({"get", "StopPlan", "p"}).code == 1);
+}
+
+Test(cli, allFaultsOfAllFilesComeBeforeAnythingIsSent)
+{
+    Proxy proxy("127.0.0.1:18305");
+    const Folder folder;
+    folder.write("a.json", groupText("g", 1));
+    folder.write("b.json", groupText("h", 0));
+    folder.write("c.json", "{\n\"kind\": 7}");
+    folder.write("d.json", groupText("g", 2));
+    const auto result = run({"apply", "-f", folder.path});
+    cr_assert(result.code == 1 && result.out.empty());
+    cr_assert(contains(result.err, "b.json:5: spec.slots: invalid-record") && contains(result.err, "c.json:2: kind: ")
+                  && contains(result.err, "DatabaseGroup/g comes twice"),
+              "%s",
+              result.err.c_str());
+    cr_assert(proxy.store.catalog()->entries().empty());
+}
+
+Test(cli, waitNamesTheProxiesThatAreBehind)
+{
+    Proxy proxy("127.0.0.1:18306");
+    proxy.fake.others.push_back({InstanceName{"slow"}, FailureDomain{"d"}, InstanceState::Ready, 0, ownForms(), Milliseconds{0}});
+    const Folder folder;
+    const auto result = run({"apply", "-f", folder.write("g.json", groupText("g", 1)), "--wait", "--wait-seconds", "0"});
+    cr_assert(result.code == 1 && contains(result.out, "version 1") && contains(result.err, "accepted, but")
+              && contains(result.err, "on slow"));
+    cr_assert(contains(run({"status"}).out, "slow"));
+    cr_assert(Json::parse(run({"status", "--behind", "1", "-o", "json"}).out)["proxies"].size() == 1);
+}
+
+Test(cli, unreachableProxiesExitWithFour)
+{
+    setenv("CARDAMOMSTEP_TOKEN", test::operatorToken.c_str(), 1);
+    const Folder folder;
+    const auto file = folder.write("g.json", groupText("g", 1));
+    cr_assert(run({"apply", "-f", file, "--address", "127.0.0.1:18307"}).code == 4);
+    cr_assert(run({"status", "--address", "127.0.0.1:18307"}).code == 4);
+    Proxy proxy("127.0.0.1:18308");
+    proxy.store.outage = Error{ErrorKind::StoreUnavailable, "down"}.comingBackAfter(Milliseconds{1500});
+    const auto down = run({"apply", "-f", file});
+    cr_assert(down.code == 4 && contains(down.err, "(come back after 1500 ms)"), "%s", down.err.c_str());
+}
+
+Test(cli, lostAnswersExitWithFive)
+{
+    Proxy proxy("127.0.0.1:18309");
+    const Folder folder;
+    const auto file = folder.write("g.json", groupText("g", 1));
+    proxy.intercept = [](const http::Request &) {
+        return http::Response{200, {}, "{\"cut"};
+    };
+    cr_assert(run({"apply", "-f", file}).code == 5);
+    proxy.intercept = [](const http::Request &) {
+        return http::Response{200, {}, "{\"changes\": 7, \"version\": []}"};
+    };
+    cr_assert(run({"apply", "-f", file}).code == 5);
+    proxy.intercept = nullptr;
+    proxy.store.outage = Error{ErrorKind::StoreOutcomeUnknown, "lost"};
+    const auto unknown = run({"apply", "-f", file});
+    cr_assert(unknown.code == 5 && contains(unknown.err, "store-outcome-unknown"));
+}
+
+Test(cli, wrongTokensAreRefused)
+{
+    Proxy proxy("127.0.0.1:18310");
+    const auto result = run({"status", "--token", "fedcba9876543210"});
+    cr_assert(result.code == 1 && contains(result.err, "unauthorized") && !contains(result.err, "fedcba"));
+}
+
+Test(cli, theClientFileComesAfterFlagsAndEnvironment)
+{
+    Proxy proxy("127.0.0.1:18311");
+    const Folder folder;
+    const auto file = folder.write("client.json", R"({"address": "127.0.0.1:18311", "token": "0123456789abcdef", "operator": "jon"})");
+    cr_assert(run({"status", "--address", "127.0.0.1:18312", "--client", file}).code == 4);
+    unsetenv("CARDAMOMSTEP_ADDRESS");
+    unsetenv("CARDAMOMSTEP_TOKEN");
+    unsetenv("CARDAMOMSTEP_OPERATOR");
+    cr_assert(run({"status"}).code == 2);
+    cr_assert(run({"apply", "-f", folder.write("g.json", groupText("g", 1)), "--client", file}).code == 0);
+    setenv("CARDAMOMSTEP_CLIENT", file.c_str(), 1);
+    cr_assert(contains(run({"history"}).out, " jon changed DatabaseGroup/g"));
+    folder.write("client.json", R"({"adress": "127.0.0.1:18311"})");
+    const auto wrong = run({"status"});
+    cr_assert(wrong.code == 2 && contains(wrong.err, "client.json:1: adress: invalid-settings: unknown key"), "%s", wrong.err.c_str());
+}
+
+Test(cli, watchTellsChangesAndEndsAfterItsCount)
+{
+    Proxy proxy("127.0.0.1:18313");
+    const Folder folder;
+    cr_assert(run({"apply", "-f", folder.write("g.json", groupText("g", 1))}).code == 0);
+    std::thread later([&folder] {
+        std::this_thread::sleep_for(Milliseconds{50});
+        run({"apply", "-f", folder.write("h.json", groupText("h", 1))});
+        run({"delete", "DatabaseGroup", "g"});
+    });
+    const auto watched = run({"watch", "--count", "2", "--after", "1"});
+    later.join();
+    cr_assert(watched.code == 0, "%s", watched.err.c_str());
+    cr_assert(contains(watched.out, "\"name\":\"h\"") && contains(watched.out, "\"deleted\":true"));
+    cr_assert(std::count(watched.out.begin(), watched.out.end(), '\n') == 2);
+}
+
+Test(cli, settingsAreCheckedWithAllFaults)
+{
+    const Folder folder;
+    const auto file = folder.write("p.json", "{\n\"instance\": 7,\n\"drainMs\": -1}");
+    const auto result = run({"check-settings", file});
+    cr_assert(result.code == 2 && result.out.empty());
+    cr_assert(contains(result.err, "p.json:2: instance: ") && contains(result.err, "p.json:3: drainMs: "));
+}
+
+Test(cli, aClosedOutputIsNoFailure)
+{
+    Proxy proxy("127.0.0.1:18314");
+    std::ostringstream closed;
+    closed.setstate(std::ios::badbit);
+    std::ostringstream err;
+    const char *argv[] = {"cardamomstep", "status"};
+    cr_assert(cli::runCommand(2, argv, closed, err) == 0);
+    cr_assert(err.str().empty());
+}
--- a/tests/operators/test_operators.cpp
+++ b/tests/operators/test_operators.cpp
@@ -319,6 +319,8 @@
     cr_assert(status["instance"] == "p1" && status["revision"] == 2 && status["records"]["DatabaseGroup"] == 1);
     cr_assert(status["proxies"][0]["state"] == "draining" && status["proxies"][0]["revision"] == 1);
     cr_assert(status["proxies"][1]["revision"] == 2);
+    const auto behind = fixture.json("/v1/status", {{"behind", "2"}});
+    cr_assert(behind["proxies"].size() == 1 && behind["proxies"][0]["instance"] == "p2" && behind["proxyCount"] == 2);
 }
 
 Test(operators, watchesTellEveryChangeOnceAndInOrder)
