--- a/src/groups/monitorupkeep.cpp
+++ b/src/groups/monitorupkeep.cpp
@@ -26,7 +26,7 @@
 // stands still behind the primary, is told (again).
 bool GroupMonitor::mustFollow(const MemberWatch &watch, TimePoint now) const
 {
-    if (watch.name() == primary_->member || !watch.report() || watch.gone()) {
+    if (watch.name() == primary_->member || !reachable(watch, now)) {
         return false;
     }
     const auto &report = *watch.report();
--- a/src/groups/policy.h
+++ b/src/groups/policy.h
@@ -3,6 +3,8 @@
 
 #include "base/time.h"
 
+#include <algorithm>
+
 namespace cardamomstep {
 
 /// How long a group's monitor waits for what.
@@ -12,9 +14,9 @@
 struct GroupPolicy {
     /// How long a primary may pause without being replaced.
     Milliseconds silenceBound{200};
-    /// Longest wait of one report, and so the time between signs of life of an idle primary.
+    /// Longest time between two signs of life of a healthy primary.
     Milliseconds heartbeatInterval{50};
-    /// A replica's waiting report is this many times longer than the primary's.
+    /// A replica's heartbeat interval is this many times longer than the primary's.
     unsigned replicaHeartbeatFactor = 1;
     /// Time for two round trips to a member: opening a connection and one exchange.
     Milliseconds roundTripAllowance{15};
@@ -27,7 +29,7 @@
     /// Pause before asking again after a refused connection.
     Milliseconds refusalRetry{5};
     /// How long a primary that runs ahead of its replicas may go without any of its entries reaching a majority.
-    Milliseconds replicationBound{400};
+    Milliseconds replicationBound{300};
     /// Largest value of `replicationBound` after promotions that did not mend replication.
     Milliseconds replicationBoundLimit{30'000};
 
@@ -59,17 +61,23 @@
     /// Silence after which a member is suspected.
     ///
     /// A pause may begin at any time up to the moment when the next sign of life is due, so the heartbeat interval
-    /// and the round trips come on top of the bound: a pause shorter than the bound never reaches this value.
+    /// comes on top of the bound: a pause shorter than the bound never reaches this value.
     [[nodiscard]] constexpr Milliseconds suspectAfter(bool primary = true) const noexcept
     {
-        return silenceBound + reportWait(primary) + roundTripAllowance;
+        return silenceBound + heartbeat(primary);
     }
 
-    /// Waiting time of one report of a primary or a replica.
-    [[nodiscard]] constexpr Milliseconds reportWait(bool primary) const noexcept
+    /// Longest time between two signs of life of a healthy primary or replica.
+    [[nodiscard]] constexpr Milliseconds heartbeat(bool primary) const noexcept
     {
         return primary ? heartbeatInterval : heartbeatInterval * replicaHeartbeatFactor;
     }
+
+    /// Waiting time of one report, so that its reply is here within the heartbeat.
+    [[nodiscard]] constexpr Milliseconds reportWait(bool primary) const noexcept
+    {
+        return std::max(heartbeat(primary) - roundTripAllowance, heartbeat(primary) / 2);
+    }
 };
 
 } // namespace cardamomstep
