Groups: peers' sightings from before a refusal no longer hold a promotion back

A sign of life that another owner had a moment before the primary's process died could arrive after the first refused connection and count against the suspicion, until that owner's next gossip. Sightings now count when they are later than the refusal by a round trip.

--- a/src/groups/monitorneed.cpp
+++ b/src/groups/monitorneed.cpp
@@ -85,7 +85,8 @@
 std::optional<PromotionReason> GroupMonitor::needWithPrimary(TimePoint now)
 {
     const auto &watch = *find(primary_->member);
-    if (watch.gone() && !heldBack(primary_->term, watch.refusedAt())) {
+    // Signs of life that others had before the refusal may still arrive within a round trip.
+    if (watch.gone() && !heldBack(primary_->term, watch.refusedAt() + policy_.roundTripAllowance)) {
         return PromotionReason::PrimaryGone;
     }
     if (silent(watch, now)) {
