Groups: copies made while catching up under a higher term cover nothing

Cause: coverage counted any report whose log ends at the entry's term. A member that catches up with a later primary passes through that state, and a primary that repeats a stored outcome replies with an old mark. Such a copy came after a promotion that did not see it, so a member without it could still lead, and an acknowledged write be lost. The model's members now pull in batches.

--- a/src/groups/coverage.cpp
+++ b/src/groups/coverage.cpp
@@ -36,7 +36,8 @@
         changed = superseding > majorityAdopted_;
         majorityAdopted_ = std::max(majorityAdopted_, superseding);
     }
-    if (advance(state->furthest, log)) {
+    // Under a higher adopted term the entries may have come from that term's primary, and then prove nothing.
+    if (log.term == adopted && advance(state->furthest, log)) {
         changed = advance(covered_, Mark{log.term, majorityPosition(log.term)}) || changed;
     }
     return changed;
--- a/src/groups/coverage.h
+++ b/src/groups/coverage.h
@@ -21,9 +21,10 @@
 /// Collects members' reports and tells which entries are covered.
 ///
 /// An entry of term T at position p is covered once a majority has reported a log whose last entry is of term T at
-/// p or later. Reports at higher terms do not count for it: their logs may have left it out. Every member counts
-/// once, with the most it ever reported at that term, because a member takes no entry of T after it adopted a
-/// higher term.
+/// p or later while T was their adopted term. Reports at a higher log term do not count for it: their logs may have left
+/// it out. Nor do reports of a log that still ends at T under a higher adopted term: a member that catches up with
+/// a later primary passes through such a state, and its copy came too late to bind the promotions between. Every member
+/// counts once, with the most it ever reported at that term, because it takes no entry of T after adopting a higher one.
 class AckTracker
 {
 public:
--- a/tests/groups/cluster.cpp
+++ b/tests/groups/cluster.cpp
@@ -12,6 +12,18 @@
 constexpr Milliseconds pullRetry{20};
 constexpr Milliseconds pullWait{100};
 constexpr Milliseconds gossipInterval{100};
+/// Entries in one reply to a pull.
+constexpr std::size_t pullEntries = 16;
+
+/// The log of a member that has \a own after it took one batch from \a source: the common part and what follows it.
+std::vector<Entry> caughtUp(const std::vector<Entry> &own, const std::vector<Entry> &source)
+{
+    const auto shorter = std::min(own.size(), source.size());
+    const auto differs = std::mismatch(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(shorter), source.begin());
+    const auto common = static_cast<std::size_t>(differs.first - own.begin());
+    const auto length = std::min(source.size(), common + pullEntries);
+    return {source.begin(), source.begin() + static_cast<std::ptrdiff_t>(length)};
+}
 
 } // namespace
 
@@ -390,10 +402,10 @@
         if (!leader.up || leader.role != MemberRole::Primary || leader.adopted != term) {
             return;
         }
-        const auto answer = [this, member, source, term, apply] {
+        const auto answer = [this, member, source, term, apply, known] {
             const auto &from = members[source];
             if (from.up && from.role == MemberRole::Primary && from.adopted == term && passes(node(source), node(member))) {
-                at(now + delay() + members[member].lag, [apply, log = from.log] { apply(log); });
+                at(now + delay() + members[member].lag, [apply, log = caughtUp(known, from.log)] { apply(log); });
             }
         };
         if (leader.log != known) {
--- a/tests/groups/test_units.cpp
+++ b/tests/groups/test_units.cpp
@@ -68,6 +68,20 @@
     cr_assert(tracker.coverage(Mark{first, 6}) == Coverage::Superseded);
 }
 
+Test(groups, copiesMadeUnderAHigherTermDoNotCoverAnEntry)
+{
+    // The entry (1, 5) is only on a; b led term 2 and holds an entry of it; a leads term 3 and c catches up with it.
+    const Term third{3, 1};
+    AckTracker tracker{{a, b, c}};
+    tracker.onState(a, Mark{first, 5}, first);
+    tracker.onState(b, Mark{second, 5}, second);
+    tracker.onState(a, Mark{third, 6}, third);
+    tracker.onState(c, Mark{first, 5}, third);
+    cr_assert(tracker.coverage(Mark{first, 5}) != Coverage::Covered);
+    tracker.onState(c, Mark{third, 6}, third);
+    cr_assert(tracker.coverage(Mark{third, 6}) == Coverage::Covered);
+}
+
 Test(groups, unknownMembersCoverNothing)
 {
     AckTracker tracker{{a, b, c}};
