--- a/src/sessions/freshness.cpp
+++ b/src/sessions/freshness.cpp
@@ -1,22 +1,37 @@
-// The bounded history of confirmed primary positions.
+// Bounds on acknowledged writes and their history.
 #include "sessions/freshness.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace cardamomstep {
 
-void FreshnessHistory::confirm(TimePoint began, const Mark &primaryMark)
+std::optional<Mark> acknowledgedBound(std::vector<Mark> logs, std::size_t members)
+{
+    const auto majority = members / 2 + 1;
+    if (logs.size() < majority) {
+        return std::nullopt;
+    }
+    const auto missing = members - std::min(members, logs.size());
+    const auto place = logs.begin() + static_cast<std::ptrdiff_t>(majority - missing - 1);
+    std::nth_element(logs.begin(), place, logs.end(), std::greater<>{});
+    return *place;
+}
+
+void FreshnessHistory::confirm(TimePoint began, const Mark &bound)
 {
     if (marks_.size() > 0 && began < marks_.last().time) {
         return;
     }
     // What was acknowledged before an earlier round lies within this mark too, so a higher one of an earlier round is not needed.
-    while (marks_.size() > 0 && marks_.last().mark > primaryMark) {
+    while (marks_.size() > 0 && marks_.last().mark > bound) {
         marks_.removeLast();
     }
-    if (marks_.size() > 0 && (marks_.last().mark == primaryMark || marks_.last().time == began)) {
+    if (marks_.size() > 0 && (marks_.last().mark == bound || marks_.last().time == began)) {
         marks_.last().time = began;
         return;
     }
-    marks_.append(began, primaryMark);
+    marks_.append(began, bound);
 }
 
 } // namespace cardamomstep
--- a/src/sessions/freshness.h
+++ b/src/sessions/freshness.h
@@ -1,4 +1,4 @@
-// The history of confirmed primary positions, which proves the age of a replica's data.
+// The history of confirmed marks, which proves the age of a replica's data.
 #pragma once
 
 #include "base/mark.h"
@@ -8,13 +8,22 @@
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace cardamomstep {
 
-/// Remembers when the primary's log was confirmed to hold every acknowledged write.
+/// The lowest mark that is sure to cover every write acknowledged before a round of reports began.
 ///
-/// Each entry (t, P) states: every write acknowledged before t has a mark of at most P. A round of
-/// reports proves it: t is when the round began, P the log mark of the primary that a majority confirmed.
+/// \a logs are the log marks in those reports of the round that arrived, one for each member; \a members is the size of the group.
+/// A write is acknowledged once a majority has it, so at least a majority less the missing reports shows it.
+/// With two reports of three this is the greater mark, with three of three the second greatest. Neither role nor term
+/// of the members matters. Returns nothing while the reports are less than a majority.
+[[nodiscard]] std::optional<Mark> acknowledgedBound(std::vector<Mark> logs, std::size_t members);
+
+/// Remembers which marks cover the writes acknowledged up to which time.
+///
+/// Each entry (t, M) states: every write acknowledged before t has a mark of at most M. A round of
+/// reports proves it: t is when the round began, M its acknowledgedBound().
 ///
 /// The number of entries is bounded, fine for recent times and coarse for old ones. A dropped entry only makes
 /// later answers stricter.
@@ -24,10 +33,10 @@
     /// Entries kept.
     static constexpr std::size_t capacity = impl::TimedMarks::capacity;
 
-    /// Adds that every write acknowledged before \a began has a mark of at most \a primaryMark.
+    /// Adds that every write acknowledged before \a began has a mark of at most \a bound.
     ///
     /// A round that began before the newest known one is ignored.
-    void confirm(TimePoint began, const Mark &primaryMark);
+    void confirm(TimePoint began, const Mark &bound);
 
     /// The lowest known mark that covers every write acknowledged before \a time.
     ///
--- a/src/sessions/readrouter.cpp
+++ b/src/sessions/readrouter.cpp
@@ -62,11 +62,11 @@
     primary_ = maxMembers;
 }
 
-void ReadRouter::confirm(TimePoint began, const Mark &primaryMark)
+void ReadRouter::confirm(TimePoint began, const Mark &bound)
 {
-    history_.confirm(began, primaryMark);
-    learnPrimaryMark(primaryMark, began);
-    highestSeen_ = std::max(highestSeen_, primaryMark);
+    history_.confirm(began, bound);
+    learnPrimaryMark(bound, began);
+    highestSeen_ = std::max(highestSeen_, bound);
 }
 
 void ReadRouter::setSuspect(const MemberName &member, bool suspect)
@@ -173,7 +173,7 @@
     if (need.token) {
         const auto standing = checkAgainst(*need.token, highestSeen_, confirmed);
         if (standing == TokenStanding::Unproven) {
-            return ConfirmPrimary{};
+            return CollectReports{};
         }
         if (standing == TokenStanding::Ahead) {
             return GiveUpRead{Error{ErrorKind::TokenAhead, "the session token names " + toText(*need.token) + ", beyond the group's log"}};
@@ -182,7 +182,7 @@
     const auto age = std::min(need.acceptedAge.value_or(Milliseconds{0}), longestAge);
     const auto covering = history_.markCovering(need.arrived - age);
     if (!covering) {
-        return ConfirmPrimary{};
+        return CollectReports{};
     }
     plan.required_ = std::max(*covering, need.token.value_or(Mark{}));
     return std::nullopt;
--- a/src/sessions/readrouter.h
+++ b/src/sessions/readrouter.h
@@ -30,9 +30,9 @@
     TimePoint deadline;
 };
 
-/// Confirm the primary by a round that begins now, report it to ReadRouter::confirm(), then route again.
-struct ConfirmPrimary {
-    [[nodiscard]] bool operator==(const ConfirmPrimary &) const = default;
+/// Collect reports in a round that begins now, hand its acknowledgedBound() to ReadRouter::confirm(), then route again.
+struct CollectReports {
+    [[nodiscard]] bool operator==(const CollectReports &) const = default;
 };
 
 /// Send the read to this member, then verify its reply.
@@ -60,7 +60,7 @@
 };
 
 /// The next step of a read.
-using ReadStep = std::variant<ConfirmPrimary, AskMember, AwaitReplica, GiveUpRead>;
+using ReadStep = std::variant<CollectReports, AskMember, AwaitReplica, GiveUpRead>;
 
 /// The progress of one read; held by whoever carries it out and handed to the router at each step.
 class ReadPlan
@@ -108,12 +108,12 @@
 
 /// Routes the reads of one database group.
 ///
-/// A shell reports what it learns about members and confirmations, and carries a read out like this:
+/// A shell reports what it learns about members and rounds, and carries a read out like this:
 /// \code
 /// ReadPlan plan{need};
 /// for (;;) {
 ///     const auto step = router.route(plan, now);
-///     // ConfirmPrimary: run a round, call confirm(began, primaryMark), route again; where it fails, answer NoPrimary
+///     // CollectReports: run a round, call confirm(began, bound), route again; without a majority, answer NotFresh
 ///     // AskMember: execute, then verify(plan, member, reply.mark, now); true means answer, false means route again
 ///     // AwaitReplica: sleep until a report arrives or `until`
 ///     // GiveUpRead: answer the error
@@ -145,7 +145,7 @@
     void clearPrimary() noexcept;
 
     /// Takes in a confirmed round; see FreshnessHistory::confirm().
-    void confirm(TimePoint began, const Mark &primaryMark);
+    void confirm(TimePoint began, const Mark &bound);
 
     /// Marks a member as suspect (its connections fail or are silent) or clears the suspicion.
     void setSuspect(const MemberName &member, bool suspect);
--- a/src/sessions/token.h
+++ b/src/sessions/token.h
@@ -17,8 +17,8 @@
 /// What is known about a mark that a token names.
 enum class TokenStanding : std::uint8_t {
     Reached, ///< Some member was seen at or beyond it.
-    Unproven, ///< Nobody was seen there; a confirmation of the primary decides.
-    Ahead, ///< A confirmed primary is behind it, so the group never reached it.
+    Unproven, ///< Nobody was seen there; a round of reports decides.
+    Ahead, ///< It lies beyond every acknowledged write, so the group never gave it out.
 };
 
 /// The writes of one session: for each database group, the mark of its last acknowledged write.
@@ -79,9 +79,8 @@
 
 /// Compares \a mark from a token with what the group reached.
 ///
-/// \a highestSeen is the greatest log mark in any member's report. \a confirmed is the log mark of a primary whose
-/// legitimacy a majority confirmed after the token arrived. Tokens hold acknowledged writes only, and a primary's log holds
-/// all of these, so a mark above \a confirmed cannot stem from this group.
+/// \a highestSeen is the greatest log mark in any member's report. \a confirmed is the acknowledgedBound() of a round of reports
+/// that began after the token arrived. Tokens hold acknowledged writes only, so a mark above both cannot stem from this group.
 [[nodiscard]] TokenStanding checkAgainst(const Mark &mark, const Mark &highestSeen, const std::optional<Mark> &confirmed) noexcept;
 
 } // namespace cardamomstep
