--- a/src/requests/admission.cpp
+++ b/src/requests/admission.cpp
@@ -59,7 +59,7 @@
     settleCredits(lane, now);
     expire(lane, now, actions);
     const Waiting candidate{request.ticket, shareOf(request.service), request.deadline};
-    if (lane.waiting.size() >= limits_.maxWaiting || !fits(lane, candidate, now)) {
+    if (!fits(lane, candidate, now) || !makeRoom(lane, candidate, now, actions)) {
         actions.emplace_back(refuse(lane, request.ticket, now));
         return actions;
     }
@@ -212,6 +212,25 @@
     return 0;
 }
 
+bool AdmissionQueue::makeRoom(LaneState &lane, const Waiting &candidate, TimePoint now, Actions &actions) const
+{
+    if (lane.waiting.size() < limits_.maxWaiting) {
+        return true;
+    }
+    if (!inCredit(lane, candidate.share)) {
+        return false;
+    }
+    const auto last = std::find_if(lane.waiting.rbegin(), lane.waiting.rend(), [&](const Waiting &waiting) {
+        return !inCredit(lane, waiting.share);
+    });
+    if (last == lane.waiting.rend()) {
+        return false;
+    }
+    actions.emplace_back(refuse(lane, last->ticket, now));
+    lane.waiting.erase(std::next(last).base());
+    return true;
+}
+
 bool AdmissionQueue::fits(const LaneState &lane, const Waiting &candidate, TimePoint now) const
 {
     const auto service = lane.serviceTime.withMargin(acceptanceMargin);
