Announce the part by the current list, not the present allowance

A run of 5000 random ownership changes found the sum one above the limit: a proxy announced its allowance, which was held down by others' claims, to a proxy with a newer list, and grew to its own part afterwards.

--- a/src/connections/share.h
+++ b/src/connections/share.h
@@ -33,7 +33,13 @@
     /// Takes in the current owners of the group.
     void setHolders(const std::vector<InstanceName> &holders, TimePoint now);
 
-    /// Takes in how many connections another proxy says it may have open at most from now on.
+    /// What to tell the other holders, given the connections that are open: the most that may be open until another list arrives.
+    [[nodiscard]] std::uint32_t mayHold(std::uint32_t open) const noexcept
+    {
+        return open < target_ ? target_ : open;
+    }
+
+    /// Takes in what another proxy's mayHold() says.
     void heldBy(const InstanceName &other, std::uint32_t connections, TimePoint now);
 
     /// Connections that this proxy may have open now.
--- a/tests/connections/test_connections.cpp
+++ b/tests/connections/test_connections.cpp
@@ -130,11 +130,9 @@
         one.open = mustClose ? allowed : one.open - *rc::gen::inRange(0U, one.open - allowed + 1);
     }
 
-    // A proxy says what it may have open from now on, which is also what it keeps to.
     void announce(std::size_t from, std::size_t to, std::int64_t now)
     {
-        const auto held = std::max(proxies[from].open, proxies[from].share.allowed(at(now)));
-        proxies[to].share.heldBy(proxy(from), held, at(now));
+        proxies[to].share.heldBy(proxy(from), proxies[from].share.mayHold(proxies[from].open), at(now));
     }
 
     [[nodiscard]] std::uint32_t open() const
