--- /dev/null
+++ b/src/groups/member.h
@@ -0,0 +1,21 @@
+// A configured member of a database group.
+#pragma once
+
+#include "base/ids.h"
+#include "base/quorum.h"
+
+#include <compare>
+#include <cstddef>
+
+namespace cardamomstep {
+
+/// A member and where it listens.
+struct GroupMember {
+    MemberName name;
+    Address address;
+
+    [[nodiscard]] auto operator<=>(const GroupMember &) const = default;
+    [[nodiscard]] bool operator==(const GroupMember &) const = default;
+};
+
+} // namespace cardamomstep
