--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -55,3 +55,8 @@
 add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
 target_link_libraries(cardamomstep PRIVATE app)
+
+# Micro benchmark; built on demand and not part of the verdict.
+add_executable(bench-decisions EXCLUDE_FROM_ALL ${CMAKE_SOURCE_DIR}/bench/decisions.cpp)
+target_compile_options(bench-decisions PRIVATE -Wall -Wextra -Wno-missing-field-initializers -Werror)
+target_link_libraries(bench-decisions PRIVATE sessions requests connections)
