--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -38,7 +38,7 @@
 
 cardamomstep_library(groups base)
 cardamomstep_test(groups)
-cardamomstep_library(peer base peerwire groups configuration)
+cardamomstep_library(peer base peerwire groups configuration membership)
 cardamomstep_library(connections base)
 cardamomstep_test(connections)
 
@@ -54,7 +54,7 @@
 cardamomstep_library(cli records settings http)
 cardamomstep_test(cli operators)
 cardamomstep_library(entry base json http records membership owner peer)
-cardamomstep_library(app entry logging metrics platform configuration)
+cardamomstep_library(app entry logging metrics platform configuration membership operators cli)
 
 add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
--- /dev/null
+++ b/src/app/configurationservice.cpp
@@ -0,0 +1,243 @@
+// Keeps the configuration of this process in step with the store and with other proxies.
+#include "app/configurationservice.h"
+
+#include "logging/log.h"
+#include "records/record.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+constexpr std::size_t exchangeThreads = 4;
+constexpr Milliseconds tickPeriod{200};
+constexpr Milliseconds exchangeTimeout{500};
+constexpr Milliseconds listTimeout{3'000};
+constexpr Milliseconds longestPause{200};
+
+SpreadOptions optionsFor(const LiveInstance &self, std::uint64_t seed)
+{
+    SpreadOptions options;
+    options.self = self.name;
+    options.domain = self.domain;
+    options.currency = {};
+    options.seed = seed;
+    return options;
+}
+
+/// The change of a record that \a object is; a null record for a deletion. Nothing for objects that are no records.
+std::optional<RecordChange> recordChange(const StoredObject &object)
+{
+    const auto kind = recordKindFromText(object.kind.text());
+    if (!kind) {
+        return std::nullopt;
+    }
+    RecordChange change;
+    change.key = {*kind, RecordName{object.name.text()}};
+    change.version = object.version.value;
+    if (object.deleted) {
+        return change;
+    }
+    auto record = readRecord(toText(change.key), object.value);
+    if (!record) {
+        const auto &fault = record.faults().front().description;
+        logEvent(LogLevel::Error, "record-unreadable", {{"record", toText(change.key)}, {"fault", fault}});
+        return std::nullopt;
+    }
+    change.record = std::make_shared<const Record>(std::move(*record));
+    return change;
+}
+
+} // namespace
+
+ConfigurationService::ConfigurationService(const LiveInstance &self,
+                                           StoreClient &store,
+                                           peer::Client &peers,
+                                           std::uint64_t seed,
+                                           Changed changed)
+    : store_(store)
+    , peers_(peers)
+    , changed_(std::move(changed))
+    , spread_(optionsFor(self, seed))
+{
+}
+
+void ConfigurationService::start()
+{
+    tasks_ = std::make_unique<TaskPool>(exchangeThreads);
+    ticker_ = std::make_unique<Periodic>([this] { return tick(); });
+    follower_ = std::make_unique<Periodic>([this] { return followStore(); });
+}
+
+void ConfigurationService::stop()
+{
+    follower_.reset();
+    ticker_.reset();
+    tasks_.reset();
+}
+
+void ConfigurationService::setInstances(std::shared_ptr<const InstanceSet> live, std::size_t listedDomains)
+{
+    const std::lock_guard lock(mutex_);
+    spread_.setInstances(std::move(live), listedDomains);
+}
+
+SpreadMessage ConfigurationService::onRequest(const SpreadMessage &request)
+{
+    std::unique_lock lock(mutex_);
+    auto handled = spread_.onRequest(request, steadyNow());
+    finishInput(lock, handled.actions);
+    return std::move(handled.reply);
+}
+
+void ConfigurationService::onAccepted(const StoredObject &change)
+{
+    std::unique_lock lock(mutex_);
+    const auto actions = spread_.onAccepted(change, steadyNow());
+    finishInput(lock, actions);
+}
+
+// Reading
+
+std::shared_ptr<const Catalog> ConfigurationService::catalog() const
+{
+    const std::lock_guard lock(mutex_);
+    return catalog_;
+}
+
+CurrencyState ConfigurationService::currency() const
+{
+    const std::lock_guard lock(mutex_);
+    return spread_.currency(steadyNow());
+}
+
+bool ConfigurationService::mayAccept() const
+{
+    const std::lock_guard lock(mutex_);
+    return spread_.mayAccept(steadyNow());
+}
+
+Revision ConfigurationService::revision() const
+{
+    const std::lock_guard lock(mutex_);
+    return spread_.state().digest().complete;
+}
+
+void ConfigurationService::awaitRevision(Revision revision, Milliseconds wait)
+{
+    std::unique_lock lock(mutex_);
+    advanced_.wait_for(lock, wait, [this, revision] { return spread_.state().digest().complete >= revision; });
+}
+
+// Peers
+
+Milliseconds ConfigurationService::tick()
+{
+    std::unique_lock lock(mutex_);
+    const auto actions = spread_.tick(steadyNow());
+    finishInput(lock, actions);
+    return tickPeriod;
+}
+
+void ConfigurationService::finishInput(std::unique_lock<std::mutex> &lock, const SpreadActions &actions)
+{
+    const auto before = catalog_;
+    perform(actions);
+    advanced_.notify_all();
+    const bool changed = catalog_ != before;
+    lock.unlock();
+    if (changed) {
+        changed_();
+    }
+}
+
+void ConfigurationService::perform(const SpreadActions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *exchange = std::get_if<SendExchange>(&action)) {
+            send(*exchange);
+        } else {
+            take(std::get<ObjectsChanged>(action).objects);
+        }
+    }
+}
+
+void ConfigurationService::send(const SendExchange &exchange)
+{
+    const bool added = tasks_ && tasks_->add([this, exchange] {
+        const auto result = peers_.spread(exchange.to.address, exchange.message, exchangeTimeout);
+        std::unique_lock taskLock(mutex_);
+        if (const auto *reply = std::get_if<SpreadMessage>(&result)) {
+            const auto actions = spread_.onReply(exchange.id, *reply, steadyNow());
+            finishInput(taskLock, actions);
+        } else {
+            spread_.onExchangeFailed(exchange.id);
+        }
+    });
+    if (!added) {
+        spread_.onExchangeFailed(exchange.id);
+    }
+}
+
+void ConfigurationService::take(const std::vector<StoredObject> &objects)
+{
+    std::vector<RecordChange> records;
+    for (const auto &object : objects) {
+        if (auto change = recordChange(object)) {
+            records.push_back(std::move(*change));
+        }
+    }
+    catalog_ = catalog_->with(records, spread_.state().digest().complete.value);
+}
+
+// The store
+
+Milliseconds ConfigurationService::followStore()
+{
+    StoreStep step;
+    {
+        const std::lock_guard lock(mutex_);
+        step = spread_.nextStoreStep(steadyNow());
+    }
+    if (const auto *pause = std::get_if<PauseUntil>(&step)) {
+        return std::clamp(wholeMilliseconds(pause->time - steadyNow()) + Milliseconds{1}, Milliseconds{1}, longestPause);
+    }
+    if (const auto *watching = std::get_if<WatchAfter>(&step)) {
+        watch(*watching);
+    } else {
+        list();
+    }
+    return Milliseconds{0};
+}
+
+void ConfigurationService::list()
+{
+    const auto calledAt = steadyNow();
+    const auto listing = store_.list(ObjectKind{}, listTimeout);
+    std::unique_lock lock(mutex_);
+    if (!listing) {
+        spread_.onStoreFailure(steadyNow());
+        logEvent(LogLevel::Warning, "store-unavailable", {{"call", "list"}, {"fault", listing.error().description}});
+        return;
+    }
+    const auto actions = spread_.onListing(*listing, calledAt, steadyNow());
+    finishInput(lock, actions);
+}
+
+void ConfigurationService::watch(const WatchAfter &step)
+{
+    const auto calledAt = steadyNow();
+    const auto changes = store_.watch(step.after, step.wait);
+    std::unique_lock lock(mutex_);
+    if (!changes) {
+        spread_.onStoreFailure(steadyNow());
+        logEvent(LogLevel::Warning, "store-unavailable", {{"call", "watch"}, {"fault", changes.error().description}});
+        return;
+    }
+    const auto actions = spread_.onChanges(*changes, calledAt, steadyNow());
+    finishInput(lock, actions);
+}
+
+} // namespace cardamomstep
--- a/src/app/fwd.h
+++ b/src/app/fwd.h
@@ -3,9 +3,11 @@
 
 namespace cardamomstep {
 
-class Fleet;
-class StoreFollower;
+class ConfigurationService;
+class MembershipService;
 class Ownership;
 class Proxy;
+class RecordWriter;
+class TaskPool;
 
 } // namespace cardamomstep
--- /dev/null
+++ b/src/app/operatorenvironment.cpp
@@ -0,0 +1,128 @@
+// What the operators' interface sees of this process.
+#include "app/operatorenvironment.h"
+
+#include <utility>
+
+namespace cardamomstep {
+
+namespace {
+
+constexpr Milliseconds storeTimeout{3'000};
+constexpr Milliseconds comeBackSoon{1'000};
+
+std::vector<RecordForm> recordForms(const std::vector<SchemaForm> &forms)
+{
+    std::vector<RecordForm> result;
+    for (const auto &form : forms) {
+        const auto kind = recordKindFromText(form.kind.text());
+        const auto schema = schemaVersionFromText("v" + std::to_string(form.version));
+        if (kind && schema) {
+            result.push_back({*kind, *schema});
+        }
+    }
+    return result;
+}
+
+StoredObject acceptedObject(const RecordKey &key, std::uint64_t version, std::string value, bool deleted)
+{
+    return {ObjectKind{std::string(toText(key.kind))}, ObjectName{key.name.text()}, Revision{version}, std::move(value), deleted};
+}
+
+} // namespace
+
+FleetEnvironment::FleetEnvironment(InstanceName self, ConfigurationService &configuration, MembershipService &membership)
+    : self_(std::move(self))
+    , configuration_(configuration)
+    , membership_(membership)
+{
+}
+
+InstanceName FleetEnvironment::self() const
+{
+    return self_;
+}
+
+std::shared_ptr<const Catalog> FleetEnvironment::catalog() const
+{
+    return configuration_.catalog();
+}
+
+void FleetEnvironment::awaitRevision(std::uint64_t revision, Milliseconds wait)
+{
+    configuration_.awaitRevision(Revision{revision}, wait);
+}
+
+std::vector<operators::ProxyView> FleetEnvironment::proxies() const
+{
+    std::vector<operators::ProxyView> views;
+    for (const auto &proxy : membership_.proxies()) {
+        const auto &update = *proxy.update;
+        if (update.state == ProxyState::Dead) {
+            continue;
+        }
+        operators::ProxyView view;
+        view.instance = update.instance.name;
+        view.failureDomain = update.instance.domain;
+        view.state = update.state == ProxyState::Leaving ? InstanceState::Draining : InstanceState::Ready;
+        const bool isSelf = update.instance.name == self_;
+        view.revision = isSelf ? configuration_.revision().value : proxy.configuration.value;
+        view.forms = recordForms(update.forms);
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+WallTime FleetEnvironment::now() const
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+RecordWriter::RecordWriter(StoreClient &store, ConfigurationService &configuration, std::uint64_t seed)
+    : records_(store, seed, storeTimeout)
+    , configuration_(configuration)
+{
+}
+
+Result<operators::StoredText> RecordWriter::get(const RecordKey &key)
+{
+    return records_.get(key);
+}
+
+Result<std::vector<operators::StoredText>> RecordWriter::list(RecordKind kind)
+{
+    return records_.list(kind);
+}
+
+std::optional<Error> RecordWriter::refusal() const
+{
+    if (configuration_.mayAccept()) {
+        return std::nullopt;
+    }
+    return Error{ErrorKind::NotReady, "this proxy cannot know that its configuration is current"}.comingBackAfter(comeBackSoon);
+}
+
+Result<std::uint64_t> RecordWriter::put(const RecordKey &key, const std::string &text, const operators::StoredText *replaced)
+{
+    if (auto error = refusal()) {
+        return std::move(*error);
+    }
+    auto version = records_.put(key, text, replaced);
+    if (version) {
+        configuration_.onAccepted(acceptedObject(key, *version, text, false));
+    }
+    return version;
+}
+
+Result<std::uint64_t> RecordWriter::remove(const RecordKey &key, std::uint64_t version)
+{
+    if (auto error = refusal()) {
+        return std::move(*error);
+    }
+    auto revision = records_.remove(key, version);
+    if (revision && *revision > 0) {
+        configuration_.onAccepted(acceptedObject(key, *revision, "", true));
+    }
+    return revision;
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/app/operatorenvironment.h
@@ -0,0 +1,53 @@
+// What the operators' interface sees of this process: its fleet, and a store that spreads what it accepted.
+#pragma once
+
+#include "app/configurationservice.h"
+#include "app/membershipservice.h"
+#include "operators/environment.h"
+#include "operators/platformstore.h"
+
+#include <atomic>
+
+namespace cardamomstep {
+
+/// The fleet as operators see it; models operators::OperatorEnvironment.
+class FleetEnvironment
+{
+public:
+    FleetEnvironment(InstanceName self, ConfigurationService &configuration, MembershipService &membership);
+
+    [[nodiscard]] InstanceName self() const;
+    [[nodiscard]] std::shared_ptr<const Catalog> catalog() const;
+    void awaitRevision(std::uint64_t revision, Milliseconds wait);
+    [[nodiscard]] std::vector<operators::ProxyView> proxies() const;
+    [[nodiscard]] WallTime now() const;
+
+private:
+    InstanceName self_;
+    ConfigurationService &configuration_;
+    MembershipService &membership_;
+};
+
+/// Writes records to the store and hands accepted ones to the fleet at once; models operators::RecordStore.
+class RecordWriter
+{
+public:
+    RecordWriter(StoreClient &store, ConfigurationService &configuration, std::uint64_t seed);
+
+    [[nodiscard]] Result<operators::StoredText> get(const RecordKey &key);
+    [[nodiscard]] Result<std::vector<operators::StoredText>> list(RecordKind kind);
+
+    /// As PlatformStore::put(); the error is NotReady as long as this proxy cannot know that its configuration is current.
+    [[nodiscard]] Result<std::uint64_t> put(const RecordKey &key, const std::string &text, const operators::StoredText *replaced);
+
+    /// As PlatformStore::remove(); the error is NotReady as for put().
+    [[nodiscard]] Result<std::uint64_t> remove(const RecordKey &key, std::uint64_t version);
+
+private:
+    [[nodiscard]] std::optional<Error> refusal() const;
+
+    operators::PlatformStore records_;
+    ConfigurationService &configuration_;
+};
+
+} // namespace cardamomstep
--- a/src/app/ownership.cpp
+++ b/src/app/ownership.cpp
@@ -4,6 +4,7 @@
 #include "base/hash.h"
 #include "groups/pacing.h"
 #include "logging/log.h"
+#include "records/checks.h"
 
 #include <algorithm>
 #include <utility>
@@ -102,6 +103,24 @@
     for (auto &[name, owned] : owned_) {
         owned.owner->setPolicy(policy);
     }
+    catalog_ = view.catalog;
+    tellLeaving(*catalog_);
+}
+
+void Ownership::setListedLeaving(std::vector<MemberName> leaving)
+{
+    const std::lock_guard lock(mutex_);
+    listedLeaving_ = std::move(leaving);
+    tellLeaving(*catalog_);
+}
+
+void Ownership::tellLeaving(const Catalog &catalog)
+{
+    for (auto &[name, owned] : owned_) {
+        auto leaving = leavingMembers(catalog, name);
+        leaving.insert(leaving.end(), listedLeaving_.begin(), listedLeaving_.end());
+        owned.owner->setLeaving(leaving);
+    }
 }
 
 std::shared_ptr<GroupOwner> Ownership::makeOwner(const entry::FleetView &view,
--- a/src/app/ownership.h
+++ b/src/app/ownership.h
@@ -1,8 +1,8 @@
 // Keeps a GroupOwner for each database group that falls to this proxy.
 #pragma once
 
-#include "app/fleet.h"
 #include "app/fwd.h"
+#include "entry/dispatcher.h"
 #include "owner/groupowner.h"
 #include "owner/transactions.h"
 #include "peer/client.h"
@@ -24,6 +24,9 @@
     /// Begins, changes and ends owners as \a view says; ended ones finish their statements.
     void reconcile(const entry::FleetView &view);
 
+    /// Takes in the members that the platform's list says are leaving.
+    void setListedLeaving(std::vector<MemberName> leaving);
+
     /// The owner of \a group; null when this proxy does not own it.
     [[nodiscard]] std::shared_ptr<GroupOwner> find(const GroupName &group) const;
 
@@ -50,6 +53,7 @@
                                                         const std::vector<LiveInstance> &owners,
                                                         unsigned rank);
     [[nodiscard]] GroupPolicy policyFor(std::size_t groups) const;
+    void tellLeaving(const Catalog &catalog);
 
     const Settings &settings_;
     LiveInstance self_;
@@ -59,6 +63,8 @@
     mutable std::mutex mutex_;
     /// Guarded by mutex_.
     std::map<GroupName, Owned> owned_;
+    std::vector<MemberName> listedLeaving_;
+    std::shared_ptr<const Catalog> catalog_ = Catalog::empty();
 };
 
 } // namespace cardamomstep
--- /dev/null
+++ b/src/app/periodic.h
@@ -0,0 +1,71 @@
+// A thread that calls a function in turns until it is stopped.
+#pragma once
+
+#include "base/time.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace cardamomstep {
+
+/// Calls a function again and again; each call says how long to pause.
+class Periodic
+{
+public:
+    /// Returns the pause before the next call.
+    using Function = std::function<Milliseconds()>;
+
+    explicit Periodic(Function function)
+        : function_(std::move(function))
+        , thread_([this] { run(); })
+    {
+    }
+    Periodic(const Periodic &) = delete;
+    Periodic &operator=(const Periodic &) = delete;
+
+    /// Waits for the call in progress.
+    ~Periodic()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+        }
+        condition_.notify_one();
+        thread_.join();
+    }
+
+    /// Ends the pause.
+    void wake()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            woken_ = true;
+        }
+        condition_.notify_one();
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        while (!stopping_) {
+            woken_ = false;
+            lock.unlock();
+            const auto pause = function_();
+            lock.lock();
+            condition_.wait_for(lock, pause, [this] { return stopping_ || woken_; });
+        }
+    }
+
+    Function function_;
+    std::mutex mutex_;
+    std::condition_variable condition_;
+    /// Guarded by mutex_.
+    bool stopping_ = false;
+    bool woken_ = false;
+    std::thread thread_;
+};
+
+} // namespace cardamomstep
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -1,15 +1,18 @@
 // One proxy process: puts the slices together, starts and stops them.
 #include "app/proxy.h"
 
-#include "app/fleet.h"
+#include "app/configurationservice.h"
+#include "app/membershipservice.h"
+#include "app/operatorenvironment.h"
 #include "app/ownership.h"
-#include "app/storefollower.h"
+#include "app/periodic.h"
 #include "app/taskpool.h"
 #include "entry/callerapi.h"
 #include "entry/dispatcher.h"
 #include "http/server.h"
 #include "logging/log.h"
 #include "metrics/metrics.h"
+#include "operators/api.h"
 #include "peer/client.h"
 #include "peer/server.h"
 #include "platform/storeclient.h"
@@ -24,6 +27,7 @@
 namespace {
 
 constexpr std::size_t backgroundThreads = 4;
+constexpr unsigned operatorThreads = 16;
 constexpr Milliseconds peerTimeout{200};
 constexpr Milliseconds drainPoll{10};
 constexpr Milliseconds maintenancePeriod{100};
@@ -86,14 +90,19 @@
     [[nodiscard]] entry::CallerServices callerServices();
     [[nodiscard]] entry::Dispatcher::Sources dispatcherSources();
 
+    void addTask(TaskPool::Task task);
     void askPeers(const GroupName &group);
     void tellPeers(const GroupName &group, std::optional<Milliseconds> hold);
     [[nodiscard]] peer::Sighting sighted(const peer::Sighting &seen);
-    void onInstances(const std::vector<ListedInstance> &listed);
+    [[nodiscard]] entry::FleetView view() const;
+    [[nodiscard]] bool isReady() const;
+    void onFleetChanged();
+    void onListed(const std::vector<ListedInstance> &listed);
     void finished(const Statement &statement, const Answer &answer, Microseconds took);
     [[nodiscard]] RequestId drawRequestId();
     void reconcile();
-    void maintain();
+    [[nodiscard]] Milliseconds maintain();
+    [[nodiscard]] std::string metricsPage();
 
     Settings settings;
     std::uint64_t seed = drawSeed();
@@ -104,18 +113,22 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> draining{false};
     std::atomic<std::uint64_t> nextRequest{1};
-    TaskPool tasks{backgroundThreads};
-    Fleet fleet;
-    Ownership ownership;
     StoreClient store;
+    ConfigurationService configuration;
+    MembershipService membership;
+    Ownership ownership;
+    FleetEnvironment environment;
+    RecordWriter records;
+    operators::OperatorApi<RecordWriter, FleetEnvironment> operatorApi;
     entry::Dispatcher dispatcher;
     entry::CallerApi callers;
     std::atomic<std::uint32_t> forwardedInFlight{0};
     // Started last and stopped first.
     std::unique_ptr<peer::Server> peerServer;
     std::unique_ptr<http::Server> callerServer;
-    std::unique_ptr<StoreFollower> follower;
-    std::thread maintenance;
+    std::unique_ptr<http::Server> operatorServer;
+    std::unique_ptr<TaskPool> tasks;
+    std::unique_ptr<Periodic> maintenance;
 };
 
 Proxy::Impl::Impl(const Settings &given)
@@ -123,9 +136,14 @@
     , self(selfOf(given))
     , transactions(given.instance, seed)
     , peers(credentialsOf(given.peers))
-    , fleet([this] { tasks.add([this] { reconcile(); }); })
-    , ownership(settings, self, groupEvents(), transactions, seed)
     , store(storeOptionsOf(given, seed))
+    , configuration(self, store, peers, seed, [this] { onFleetChanged(); })
+    , membership(
+          settings, store, peers, seed, [this] { onFleetChanged(); }, [this](const auto &listed) { onListed(listed); })
+    , ownership(settings, self, groupEvents(), transactions, seed)
+    , environment(self.name, configuration, membership)
+    , records(store, configuration, seed)
+    , operatorApi(records, environment, {.token = given.operators.token})
     , dispatcher(self, dispatcherSources(), peers, transactions)
     , callers(callerServices(), {.tokenBytes = given.limits.tokenBytes, .maxWindow = given.limits.maxWindow}, given.limits.inFlight)
 {
@@ -138,6 +156,7 @@
 
 Result<Success> Proxy::Impl::listen()
 {
+    tasks = std::make_unique<TaskPool>(backgroundThreads);
     auto peerStarted = peer::Server::start(settings.peers.listen, credentialsOf(settings.peers), peerHandlers());
     if (!peerStarted) {
         return peerStarted.error();
@@ -154,9 +173,17 @@
         return callersStarted.error();
     }
     callerServer = std::move(*callersStarted);
-    follower = std::make_unique<StoreFollower>(
-        store, fleet, [this](const std::vector<ListedInstance> &listed) { onInstances(listed); }, seed);
-    maintenance = std::thread([this] { maintain(); });
+    http::ServerOptions operatorOptions;
+    operatorOptions.listen = settings.operators.listen;
+    operatorOptions.maxThreads = operatorThreads;
+    auto operatorsStarted = http::Server::start(operatorOptions, [this](const http::Request &request) { return operatorApi.handle(request); });
+    if (!operatorsStarted) {
+        return operatorsStarted.error();
+    }
+    operatorServer = std::move(*operatorsStarted);
+    configuration.start();
+    membership.start();
+    maintenance = std::make_unique<Periodic>([this] { return maintain(); });
     return Success{};
 }
 
@@ -165,12 +192,13 @@
     if (stopping.exchange(true)) {
         return;
     }
-    follower.reset();
-    if (maintenance.joinable()) {
-        maintenance.join();
-    }
+    maintenance.reset();
+    operatorServer.reset();
     callerServer.reset();
     peerServer.reset();
+    membership.stop();
+    configuration.stop();
+    tasks.reset();
     ownership.clear();
 }
 
@@ -215,16 +243,9 @@
         metrics.observe("forwarded_ms{verb=\"" + std::string(nameOf(statement)) + "\"}", steadyNow() - arrived);
         return answer;
     };
-    handlers.ping = [](const peer::Ping & /*ping*/) {
-        return peer::Pong{true, {}};
-    };
-    handlers.push = [this](const peer::Objects &objects) {
-        (void)fleet.onDelta(objects.delta);
-        return peer::Digest{self.name, fleet.digest()};
-    };
-    handlers.fetch = [this](const peer::Digest &digest) {
-        return peer::Objects{self.name, fleet.deltaFor(digest.digest)};
-    };
+    handlers.ping = [this](const peer::Ping &ping) { return membership.onPing(ping); };
+    handlers.snapshot = [this] { return membership.snapshot(); };
+    handlers.spread = [this](const SpreadMessage &message) { return configuration.onRequest(message); };
     handlers.sight = [this](const peer::Sighting &seen) {
         return sighted(seen);
     };
@@ -305,7 +326,7 @@
         return;
     }
     for (const auto &other : ownership.otherOwners(group)) {
-        tasks.add([this, owner, group, other, hold] {
+        addTask([this, owner, group, other, hold] {
             const auto result = peers.sight(other.address, {self.name, group, owner->sighting(), hold}, peerTimeout);
             const auto *seen = std::get_if<peer::Sighting>(&result);
             if (seen != nullptr && !seen->from.empty()) {
@@ -330,34 +351,81 @@
 
 // The fleet
 
-void Proxy::Impl::onInstances(const std::vector<ListedInstance> &listed)
+void Proxy::Impl::addTask(TaskPool::Task task)
+{
+    if (!stopping && tasks) {
+        tasks->add(std::move(task));
+    }
+}
+
+entry::FleetView Proxy::Impl::view() const
+{
+    const auto currency = configuration.currency();
+    const bool mayServe = currency == CurrencyState::Current || currency == CurrencyState::StoreSilent;
+    return {configuration.catalog(), membership.owners(), mayServe};
+}
+
+bool Proxy::Impl::isReady() const
+{
+    return view().ready && !membership.isLeaving();
+}
+
+void Proxy::Impl::onFleetChanged()
+{
+    addTask([this] { reconcile(); });
+}
+
+void Proxy::Impl::onListed(const std::vector<ListedInstance> &listed)
 {
-    std::vector<LiveInstance> live;
+    std::vector<MemberName> leaving;
     for (const auto &instance : listed) {
-        if (instance.role == "proxy" && instance.state == ListedState::Live) {
-            live.push_back({InstanceName{instance.name}, instance.domain, instance.address});
+        if (instance.role == "endpoint" && instance.state == ListedState::Leaving) {
+            leaving.emplace_back(instance.name);
         }
     }
-    fleet.setInstances(std::move(live));
+    ownership.setListedLeaving(std::move(leaving));
 }
 
 void Proxy::Impl::reconcile()
 {
-    if (!stopping && !draining) {
-        ownership.reconcile(fleet.view());
+    if (stopping) {
+        return;
     }
+    const auto owners = membership.owners();
+    configuration.setInstances(owners, membership.listedDomains());
+    membership.setConfiguration(configuration.revision());
+    ownership.reconcile({configuration.catalog(), owners, true});
 }
 
-void Proxy::Impl::maintain()
+Milliseconds Proxy::Impl::maintain()
 {
-    while (!stopping) {
-        for (const auto &expired : transactions.expire()) {
-            if (const auto owner = ownership.find(expired.transaction.group)) {
-                owner->closeConnection(expired);
-            }
+    for (const auto &expired : transactions.expire()) {
+        if (const auto owner = ownership.find(expired.transaction.group)) {
+            owner->closeConnection(expired);
         }
-        std::this_thread::sleep_for(maintenancePeriod);
     }
+    configuration.setInstances(membership.owners(), membership.listedDomains());
+    membership.setConfiguration(configuration.revision());
+    return maintenancePeriod;
+}
+
+std::string Proxy::Impl::metricsPage()
+{
+    metrics.set("configuration_revision", static_cast<double>(configuration.revision().value));
+    metrics.set("open_transactions", static_cast<double>(transactions.size()));
+    metrics.set("callers_in_flight", callers.inFlight());
+    const auto counts = store.counts();
+    metrics.set("store_reads", static_cast<double>(counts.reads));
+    metrics.set("store_writes", static_cast<double>(counts.writes));
+    metrics.set("store_failures", static_cast<double>(counts.failures));
+    for (const auto &owner : ownership.all()) {
+        const auto snapshot = owner->snapshot();
+        const auto label = "{group=\"" + snapshot.group.text() + "\"}";
+        metrics.set("group_waiting" + label, snapshot.waiting);
+        metrics.set("group_running" + label, snapshot.running);
+        metrics.set("group_connections" + label, snapshot.openConnections);
+    }
+    return metrics.page();
 }
 
 // Proxy
@@ -384,6 +452,7 @@
 {
     impl_->draining = true;
     impl_->callers.beginDraining();
+    impl_->membership.leave();
     const auto until = steadyNow() + impl_->settings.drain;
     const auto busy = [this] {
         return impl_->callers.inFlight() + impl_->forwardedInFlight + impl_->transactions.size() > 0;
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -78,10 +78,10 @@
     core_->primaryWaiters.signalAll();
 }
 
-void GroupOwner::requestSwitchover(const MemberName &member)
+void GroupOwner::setLeaving(const std::vector<MemberName> &leaving)
 {
     const std::lock_guard lock(core_->mutex);
-    core_->perform(core_->monitor.requestSwitchover(member, steadyNow()));
+    core_->setLeaving(leaving);
 }
 
 void GroupOwner::closeConnection(const Transactions::Use &use)
--- a/src/owner/groupowner.h
+++ b/src/owner/groupowner.h
@@ -54,8 +54,8 @@
     /// Takes in that another owner holds writes for \a span; zero releases them.
     void hold(Milliseconds span);
 
-    /// Moves the primary's role away from \a member, which is to stop.
-    void requestSwitchover(const MemberName &member);
+    /// Takes in the members that are to get no new work; a primary among them is switched over first.
+    void setLeaving(const std::vector<MemberName> &leaving);
 
     /// Closes the connection of a transaction that expired.
     void closeConnection(const Transactions::Use &use);
--- a/src/owner/impl/groupcore.cpp
+++ b/src/owner/impl/groupcore.cpp
@@ -129,11 +129,7 @@
         const std::lock_guard lock(core->mutex);
         const auto now = steadyNow();
         if (const auto *report = std::get_if<MemberReport>(&result)) {
-            core->onState(action.member, report->log, report->adopted, sentAt);
-            core->router.report(*report, now);
-            core->router.setSuspect(action.member, false);
-            core->perform(core->monitor.onReport(action.member, *report, sentAt, now));
-            core->reportWaiters.signalAll();
+            core->takeReport(*report, sentAt);
         } else {
             core->router.setSuspect(action.member, true);
             core->perform(core->monitor.onLinkFailure(action.member, std::get<LinkFailure>(result), now));
@@ -141,6 +137,46 @@
     });
 }
 
+void GroupCore::takeReport(MemberReport report, TimePoint sentAt)
+{
+    const auto now = steadyNow();
+    const bool told = std::find(leaving_.begin(), leaving_.end(), report.member) != leaving_.end();
+    onState(report.member, report.log, report.adopted, sentAt);
+    perform(monitor.onReport(report.member, report, sentAt, now));
+    report.leaving = report.leaving || told;
+    router.report(report, now);
+    router.setSuspect(report.member, false);
+    if (report.leaving) {
+        moveLeavingPrimary();
+    }
+    reportWaiters.signalAll();
+}
+
+void GroupCore::moveLeavingPrimary()
+{
+    const auto view = monitor.primary();
+    if (!view) {
+        return;
+    }
+    const auto report = monitor.lastReport(view->member);
+    const bool told = std::find(leaving_.begin(), leaving_.end(), view->member) != leaving_.end();
+    if (told || (report && report->leaving)) {
+        perform(monitor.requestSwitchover(view->member, steadyNow()));
+    }
+}
+
+void GroupCore::setLeaving(const std::vector<MemberName> &leaving)
+{
+    leaving_ = leaving;
+    for (const auto &member : monitor.members()) {
+        if (auto report = monitor.lastReport(member.name)) {
+            report->leaving = report->leaving || std::find(leaving.begin(), leaving.end(), member.name) != leaving.end();
+            router.report(*report, steadyNow());
+        }
+    }
+    moveLeavingPrimary();
+}
+
 void GroupCore::sendOrder(const MemberName &name, OrderKind kind, const Term &term, const SendFollow *follow, Milliseconds timeout)
 {
     auto *member = find(name);
--- a/src/owner/impl/groupcore.h
+++ b/src/owner/impl/groupcore.h
@@ -72,6 +72,9 @@
     /// Acts on what the admission queue decided.
     void apply(const std::vector<AdmissionAction> &actions);
 
+    /// Takes in the members that are to get no new work.
+    void setLeaving(const std::vector<MemberName> &leaving);
+
     /// Takes in the current owners of the group.
     void setHolders(const std::vector<InstanceName> &holders);
 
@@ -127,6 +130,8 @@
         std::optional<Error> refusal;
     };
 
+    void takeReport(MemberReport report, TimePoint sentAt);
+    void moveLeavingPrimary();
     void sendReport(const SendReport &action);
     void sendOrder(const MemberName &member, OrderKind kind, const Term &term, const SendFollow *follow, Milliseconds timeout);
     void sendChecks(RoundNumber round);
@@ -135,6 +140,8 @@
     void runTicker();
     [[nodiscard]] TimePoint nextWake() const;
 
+    /// Members that are to stop, by others' word than their own.
+    std::vector<MemberName> leaving_;
     std::map<std::uint64_t, Ticket> tickets_;
     std::uint64_t nextTicket_ = 1;
     std::uint64_t nextExchange_ = 1;
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -21,7 +21,7 @@
 
 Failure toFailure(const grpc::Status &status)
 {
-    return {false, status.error_message()};
+    return {false, false, status.error_message()};
 }
 
 } // namespace
@@ -38,7 +38,8 @@
     {
         const auto channel = channels.to(peer);
         if (!channel->WaitForConnected(deadlineAfter(std::min(timeout, connectWithin)))) {
-            return Failure{true, "cannot connect to " + peer.text()};
+            const bool refused = channel->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE;
+            return Failure{true, refused, "cannot connect to " + peer.text()};
         }
         const auto stub = impl::wire::Peer::NewStub(channel);
         grpc::ClientContext context;
@@ -69,11 +70,11 @@
     });
 }
 
-PeerResult<Pong> Client::ping(const Address &peer, const Ping &ping, Milliseconds timeout)
+PeerResult<Ping> Client::ping(const Address &peer, const Ping &ping, Milliseconds timeout)
 {
     const auto request = impl::encode(ping);
-    return impl_->run<Pong>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<Pong> {
-        impl::wire::PingReply reply;
+    return impl_->run<Ping>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<Ping> {
+        impl::wire::PingMessage reply;
         const auto status = stub.Ping(&context, request, &reply);
         if (!status.ok()) {
             return toFailure(status);
@@ -82,25 +83,25 @@
     });
 }
 
-PeerResult<Digest> Client::push(const Address &peer, const Objects &objects, Milliseconds timeout)
+PeerResult<std::vector<SharedUpdate>> Client::snapshot(const Address &peer, Milliseconds timeout)
 {
-    const auto request = impl::encode(objects);
-    return impl_->run<Digest>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<Digest> {
-        impl::wire::DigestMessage reply;
-        const auto status = stub.Push(&context, request, &reply);
-        if (!status.ok()) {
-            return toFailure(status);
-        }
-        return impl::decode(reply);
-    });
+    return impl_->run<std::vector<SharedUpdate>>(
+        peer, timeout, timeout, [](auto &stub, auto &context) -> PeerResult<std::vector<SharedUpdate>> {
+            impl::wire::SnapshotReply reply;
+            const auto status = stub.Snapshot(&context, impl::wire::SnapshotRequest{}, &reply);
+            if (!status.ok()) {
+                return toFailure(status);
+            }
+            return impl::decode(reply);
+        });
 }
 
-PeerResult<Objects> Client::fetch(const Address &peer, const Digest &digest, Milliseconds timeout)
+PeerResult<SpreadMessage> Client::spread(const Address &peer, const SpreadMessage &message, Milliseconds timeout)
 {
-    const auto request = impl::encode(digest);
-    return impl_->run<Objects>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<Objects> {
-        impl::wire::ObjectsMessage reply;
-        const auto status = stub.Fetch(&context, request, &reply);
+    const auto request = impl::encode(message);
+    return impl_->run<SpreadMessage>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<SpreadMessage> {
+        impl::wire::SpreadMessage reply;
+        const auto status = stub.Spread(&context, request, &reply);
         if (!status.ok()) {
             return toFailure(status);
         }
--- a/src/peer/client.h
+++ b/src/peer/client.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace cardamomstep::peer {
 
@@ -22,6 +23,8 @@
 struct Failure {
     /// True when the request did not reach the peer.
     bool notSent = false;
+    /// True when the peer's address refuses connections.
+    bool refused = false;
     std::string description;
 };
 
@@ -44,9 +47,16 @@
     [[nodiscard]] PeerResult<Answer>
     execute(const Address &peer, const Statement &statement, Microseconds remaining, Milliseconds connectWithin);
 
-    [[nodiscard]] PeerResult<Pong> ping(const Address &peer, const Ping &ping, Milliseconds timeout);
-    [[nodiscard]] PeerResult<Digest> push(const Address &peer, const Objects &objects, Milliseconds timeout);
-    [[nodiscard]] PeerResult<Objects> fetch(const Address &peer, const Digest &digest, Milliseconds timeout);
+    /// Sends a probe.
+    [[nodiscard]] PeerResult<Ping> ping(const Address &peer, const Ping &ping, Milliseconds timeout);
+
+    /// Asks for all news of the fleet.
+    [[nodiscard]] PeerResult<std::vector<SharedUpdate>> snapshot(const Address &peer, Milliseconds timeout);
+
+    /// Compares the configuration.
+    [[nodiscard]] PeerResult<SpreadMessage> spread(const Address &peer, const SpreadMessage &message, Milliseconds timeout);
+
+    /// Tells and asks about a group's primary.
     [[nodiscard]] PeerResult<Sighting> sight(const Address &peer, const Sighting &sighting, Milliseconds timeout);
 
     /// Drops the channel to \a peer, for one that went away for good.
--- a/src/peer/fwd.h
+++ b/src/peer/fwd.h
@@ -4,6 +4,7 @@
 namespace cardamomstep::peer {
 
 struct Failure;
+struct Ping;
 struct Handlers;
 struct Credentials;
 struct Sighting;
--- a/src/peer/impl/peercodec.cpp
+++ b/src/peer/impl/peercodec.cpp
@@ -9,39 +9,79 @@
 
 constexpr std::int64_t absent = -1;
 
-template<typename Entries>
-void encodeEntries(const std::vector<MemberEntry> &from, Entries *to)
+template<typename Updates>
+void encodeUpdates(const std::vector<SharedUpdate> &from, Updates *to)
 {
-    for (const auto &entry : from) {
+    for (const auto &update : from) {
         auto *message = to->Add();
-        message->set_name(entry.name.text());
-        message->set_domain(entry.domain.text());
-        message->set_address(entry.address.text());
-        message->set_incarnation(entry.incarnation);
-        message->set_state(static_cast<std::uint32_t>(entry.state));
-        message->set_revision(entry.revision);
-        message->mutable_forms()->Add(entry.forms.begin(), entry.forms.end());
+        message->set_name(update->instance.name.text());
+        message->set_domain(update->instance.domain.text());
+        message->set_address(update->instance.address.text());
+        message->set_incarnation(update->incarnation);
+        message->set_state(static_cast<std::uint32_t>(update->state));
+        for (const auto &form : update->forms) {
+            auto *entry = message->add_forms();
+            entry->set_kind(form.kind.text());
+            entry->set_version(form.version);
+        }
     }
 }
 
-template<typename Entries>
-std::vector<MemberEntry> decodeEntries(const Entries &from)
+template<typename Updates>
+std::vector<SharedUpdate> decodeUpdates(const Updates &from)
 {
-    std::vector<MemberEntry> result;
+    std::vector<SharedUpdate> result;
     for (const auto &message : from) {
-        MemberEntry entry;
-        entry.name = InstanceName{message.name()};
-        entry.domain = FailureDomain{message.domain()};
-        entry.address = Address{message.address()};
-        entry.incarnation = message.incarnation();
-        entry.state = static_cast<EntryState>(std::min<std::uint32_t>(message.state(), static_cast<std::uint32_t>(EntryState::Leaving)));
-        entry.revision = message.revision();
-        entry.forms.assign(message.forms().begin(), message.forms().end());
-        result.push_back(std::move(entry));
+        MemberUpdate update;
+        update.instance = {InstanceName{message.name()}, FailureDomain{message.domain()}, Address{message.address()}};
+        update.incarnation = message.incarnation();
+        update.state = static_cast<ProxyState>(std::min<std::uint32_t>(message.state(), static_cast<std::uint32_t>(ProxyState::Dead)));
+        for (const auto &form : message.forms()) {
+            update.forms.push_back({ObjectKind{form.kind()}, form.version()});
+        }
+        result.push_back(std::make_shared<const MemberUpdate>(std::move(update)));
     }
     return result;
 }
 
+wire::DeltaMessage encodeDelta(const ConfigurationDelta &delta)
+{
+    wire::DeltaMessage message;
+    message.set_after(delta.after.value);
+    message.set_up_to(delta.upTo.value);
+    message.set_whole(delta.whole);
+    for (const auto &object : delta.changes) {
+        auto *entry = message.add_changes();
+        entry->set_kind(object.kind.text());
+        entry->set_name(object.name.text());
+        entry->set_version(object.version.value);
+        entry->set_value(object.value);
+        entry->set_deleted(object.deleted);
+    }
+    for (const auto &gap : delta.gaps) {
+        auto *entry = message.add_gaps();
+        entry->set_after(gap.after.value);
+        entry->set_up_to(gap.upTo.value);
+    }
+    return message;
+}
+
+ConfigurationDelta decodeDelta(const wire::DeltaMessage &message)
+{
+    ConfigurationDelta delta;
+    delta.after = Revision{message.after()};
+    delta.upTo = Revision{message.up_to()};
+    delta.whole = message.whole();
+    for (const auto &entry : message.changes()) {
+        delta.changes.push_back(
+            {ObjectKind{entry.kind()}, ObjectName{entry.name()}, Revision{entry.version()}, entry.value(), entry.deleted()});
+    }
+    for (const auto &gap : message.gaps()) {
+        delta.gaps.push_back({Revision{gap.after()}, Revision{gap.up_to()}});
+    }
+    return delta;
+}
+
 Mark markOrNone(const std::string &text)
 {
     const auto mark = parseMark(text);
@@ -147,87 +187,82 @@
     return answer;
 }
 
-wire::PingRequest encode(const Ping &ping)
+wire::PingMessage encode(const Ping &ping)
 {
-    wire::PingRequest message;
-    message.set_from(ping.from.text());
-    encodeEntries(ping.updates, message.mutable_updates());
+    wire::PingMessage message;
+    message.set_from(ping.message.from.text());
+    message.set_configuration(ping.message.configuration.value);
+    message.set_introduce(ping.message.introduce);
+    encodeUpdates(ping.message.updates, message.mutable_updates());
     message.set_target(ping.target.text());
+    message.set_answered(ping.answered);
     return message;
 }
 
-Ping decode(const wire::PingRequest &message)
+Ping decode(const wire::PingMessage &message)
 {
-    return {InstanceName{message.from()}, decodeEntries(message.updates()), InstanceName{message.target()}};
+    Ping ping;
+    ping.message.from = InstanceName{message.from()};
+    ping.message.configuration = Revision{message.configuration()};
+    ping.message.introduce = message.introduce();
+    ping.message.updates = decodeUpdates(message.updates());
+    ping.target = Address{message.target()};
+    ping.answered = message.answered();
+    return ping;
 }
 
-wire::PingReply encode(const Pong &pong)
+wire::SnapshotReply encode(const std::vector<SharedUpdate> &updates)
 {
-    wire::PingReply message;
-    message.set_acknowledged(pong.acknowledged);
-    encodeEntries(pong.updates, message.mutable_updates());
+    wire::SnapshotReply message;
+    encodeUpdates(updates, message.mutable_updates());
     return message;
 }
 
-Pong decode(const wire::PingReply &message)
+std::vector<SharedUpdate> decode(const wire::SnapshotReply &message)
 {
-    return {message.acknowledged(), decodeEntries(message.updates())};
+    return decodeUpdates(message.updates());
 }
 
-wire::ObjectsMessage encode(const Objects &objects)
+wire::SpreadMessage encode(const SpreadMessage &spread)
 {
-    wire::ObjectsMessage message;
-    message.set_from(objects.from.text());
-    message.set_after(objects.delta.after.value);
-    message.set_up_to(objects.delta.upTo.value);
-    message.set_whole(objects.delta.whole);
-    for (const auto &object : objects.delta.changes) {
-        auto *entry = message.add_objects();
-        entry->set_kind(object.kind.text());
-        entry->set_name(object.name.text());
-        entry->set_version(object.version.value);
-        entry->set_value(object.value);
-        entry->set_deleted(object.deleted);
+    wire::SpreadMessage message;
+    message.set_from(spread.from.text());
+    message.set_domain(spread.domain.text());
+    message.mutable_digest()->set_complete(spread.digest.complete.value);
+    message.mutable_digest()->set_highest(spread.digest.highest.value);
+    message.mutable_digest()->set_hash(spread.digest.hash);
+    if (spread.delta) {
+        *message.mutable_delta() = encodeDelta(*spread.delta);
     }
-    for (const auto &gap : objects.delta.gaps) {
-        auto *entry = message.add_gaps();
-        entry->set_after(gap.after.value);
-        entry->set_up_to(gap.upTo.value);
+    if (spread.confirmation) {
+        message.mutable_confirmation()->set_revision(spread.confirmation->revision.value);
+        message.mutable_confirmation()->set_age_ms(spread.confirmation->age.count());
+    }
+    for (const auto &heard : spread.heard) {
+        auto *entry = message.add_heard();
+        entry->set_domain(heard.domain.text());
+        entry->set_age_ms(heard.age.count());
     }
     return message;
 }
 
-Objects decode(const wire::ObjectsMessage &message)
+SpreadMessage decode(const wire::SpreadMessage &message)
 {
-    Objects objects;
-    objects.from = InstanceName{message.from()};
-    objects.delta.after = Revision{message.after()};
-    objects.delta.upTo = Revision{message.up_to()};
-    objects.delta.whole = message.whole();
-    for (const auto &entry : message.objects()) {
-        const StoredObject object{
-            ObjectKind{entry.kind()}, ObjectName{entry.name()}, Revision{entry.version()}, entry.value(), entry.deleted()};
-        objects.delta.changes.push_back(object);
+    SpreadMessage spread;
+    spread.from = InstanceName{message.from()};
+    spread.domain = FailureDomain{message.domain()};
+    const auto &digest = message.digest();
+    spread.digest = {Revision{digest.complete()}, Revision{digest.highest()}, digest.hash()};
+    if (message.has_delta()) {
+        spread.delta = decodeDelta(message.delta());
     }
-    for (const auto &gap : message.gaps()) {
-        objects.delta.gaps.push_back({Revision{gap.after()}, Revision{gap.up_to()}});
+    if (message.has_confirmation()) {
+        spread.confirmation = StoreConfirmation{Revision{message.confirmation().revision()}, Milliseconds{message.confirmation().age_ms()}};
     }
-    return objects;
-}
-
-wire::DigestMessage encode(const Digest &digest)
-{
-    wire::DigestMessage message;
-    message.set_from(digest.from.text());
-    message.set_complete(digest.digest.complete.value);
-    message.set_highest(digest.digest.highest.value);
-    message.set_hash(digest.digest.hash);
-    return message;
-}
-
-Digest decode(const wire::DigestMessage &message)
-{
-    return {InstanceName{message.from()}, {Revision{message.complete()}, Revision{message.highest()}, message.hash()}};
+    for (const auto &heard : message.heard()) {
+        spread.heard.push_back({FailureDomain{heard.domain()}, Milliseconds{heard.age_ms()}});
+    }
+    return spread;
 }
 
 wire::SightingMessage encode(const Sighting &sighting)
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -31,23 +31,23 @@
         return grpc::Status::OK;
     }
 
-    grpc::Status Ping(grpc::ServerContext * /*context*/, const impl::wire::PingRequest *request, impl::wire::PingReply *reply) override
+    grpc::Status Ping(grpc::ServerContext * /*context*/, const impl::wire::PingMessage *request, impl::wire::PingMessage *reply) override
     {
         *reply = impl::encode(handlers_.ping(impl::decode(*request)));
         return grpc::Status::OK;
     }
 
     grpc::Status
-    Push(grpc::ServerContext * /*context*/, const impl::wire::ObjectsMessage *request, impl::wire::DigestMessage *reply) override
+    Snapshot(grpc::ServerContext * /*context*/, const impl::wire::SnapshotRequest * /*request*/, impl::wire::SnapshotReply *reply) override
     {
-        *reply = impl::encode(handlers_.push(impl::decode(*request)));
+        *reply = impl::encode(handlers_.snapshot());
         return grpc::Status::OK;
     }
 
     grpc::Status
-    Fetch(grpc::ServerContext * /*context*/, const impl::wire::DigestMessage *request, impl::wire::ObjectsMessage *reply) override
+    Spread(grpc::ServerContext * /*context*/, const impl::wire::SpreadMessage *request, impl::wire::SpreadMessage *reply) override
     {
-        *reply = impl::encode(handlers_.fetch(impl::decode(*request)));
+        *reply = impl::encode(handlers_.spread(impl::decode(*request)));
         return grpc::Status::OK;
     }
 
--- a/src/peer/server.h
+++ b/src/peer/server.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace cardamomstep::peer {
 
@@ -15,9 +16,9 @@
 struct Handlers {
     /// Runs a statement within the remaining time.
     std::function<Answer(const Statement &, Microseconds remaining)> execute;
-    std::function<Pong(const Ping &)> ping;
-    std::function<Digest(const Objects &)> push;
-    std::function<Objects(const Digest &)> fetch;
+    std::function<Ping(const Ping &)> ping;
+    std::function<std::vector<SharedUpdate>()> snapshot;
+    std::function<SpreadMessage(const SpreadMessage &)> spread;
     std::function<Sighting(const Sighting &)> sight;
 };
 
