--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -40,6 +40,7 @@
 cardamomstep_test(groups)
 cardamomstep_library(peer base peerwire groups configuration)
 cardamomstep_library(connections base)
+cardamomstep_test(connections)
 
 cardamomstep_library(sessions base)
 cardamomstep_test(sessions)
@@ -48,9 +49,21 @@
 cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
 cardamomstep_test(requests)
 
+cardamomstep_library(operators records platform)
+cardamomstep_test(operators)
+cardamomstep_library(cli records settings http)
+cardamomstep_test(cli operators)
 cardamomstep_library(entry base json http records membership owner peer)
 cardamomstep_library(app entry logging metrics platform configuration)
 
 add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
 target_link_libraries(cardamomstep PRIVATE app)
+
+# Templates of these libraries use 0 for null pointers.
+set_source_files_properties(${CMAKE_SOURCE_DIR}/src/http/connection.cpp ${CMAKE_SOURCE_DIR}/src/http/server.cpp
+    PROPERTIES COMPILE_OPTIONS -Wno-zero-as-null-pointer-constant)
+# Micro benchmark; built on demand and not part of the verdict.
+add_executable(bench-decisions EXCLUDE_FROM_ALL ${CMAKE_SOURCE_DIR}/bench/decisions.cpp)
+target_compile_options(bench-decisions PRIVATE -Wall -Wextra -Wno-missing-field-initializers -Werror)
+target_link_libraries(bench-decisions PRIVATE sessions requests connections)
