Groups: a read mark is never taken from a lower term

A primary that repeats a stored outcome replies with an old mark, which would make the read mark of a round too low and let a stale replica serve. Marks of a lower term are left out; the header says which marks may be passed.

--- a/src/groups/legitimacy.cpp
+++ b/src/groups/legitimacy.cpp
@@ -80,7 +80,8 @@
         return;
     }
     addOnce(confirmed_, member);
-    if (member == primary_ && !primaryLog_) {
+    // A primary's log always ends in its own term.
+    if (member == primary_ && log.term == term_ && !primaryLog_) {
         primaryLog_ = log;
     }
     if (primaryLog_ && confirmed_.size() >= majorityOf(members_.size())) {
--- a/src/groups/legitimacy.h
+++ b/src/groups/legitimacy.h
@@ -47,6 +47,9 @@
     [[nodiscard]] std::optional<RoundNumber> begin(TimePoint now);
 
     /// Takes in the state in any reply to something that was sent at \a sentAt; replies to something older than the round are left out.
+    ///
+    /// \a log must be the member's last entry then, or one that was appended for the request itself: the mark of a repeated
+    /// write is neither and would make the read mark too low.
     void onState(const MemberName &member, const Term &adopted, const Mark &log, TimePoint sentAt);
 
     /// The result of a round that ended, each once.
--- a/tests/groups/test_monitor.cpp
+++ b/tests/groups/test_monitor.cpp
@@ -53,6 +53,18 @@
     cr_assert_eq(cluster.promotions(), 1);
 }
 
+Test(groups, singleMemberLeadsAndLeadsAgain)
+{
+    ClusterOptions options;
+    options.members = 1;
+    Cluster cluster{options};
+    start(cluster);
+    cluster.kill(0);
+    cluster.run(Milliseconds{500});
+    expectWhole(cluster);
+    cr_assert_eq(cluster.promotions(), 2);
+}
+
 Test(groups, killedPrimaryIsReplaced)
 {
     for (const bool host : {false, true}) {
--- a/tests/groups/test_units.cpp
+++ b/tests/groups/test_units.cpp
@@ -124,6 +124,19 @@
     cr_assert((result->readMark == Mark{first, 8}));
 }
 
+Test(groups, readMarkIsNeverOfALowerTerm)
+{
+    LegitimacyRounds rounds{{a, b, c}};
+    rounds.setPrimary(a, second);
+    (void)rounds.join(at(0));
+    (void)rounds.begin(at(0));
+    rounds.onState(b, second, Mark{second, 9}, at(1));
+    rounds.onState(a, second, Mark{first, 4}, at(1));
+    cr_assert(!rounds.takeResult(at(2)), "an old mark says nothing on the primary's log");
+    rounds.onState(a, second, Mark{second, 9}, at(1));
+    cr_assert((rounds.takeResult(at(3))->readMark == Mark{second, 9}));
+}
+
 Test(groups, readsDuringARoundJoinTheNextOne)
 {
     LegitimacyRounds rounds{{a, b, c}};
@@ -253,6 +266,20 @@
     cr_assert(!monitor.primary()->suspected);
 }
 
+Test(groups, removedPrimaryIsNoLongerBelieved)
+{
+    const std::vector<GroupMember> members{{a, Address{"10.0.0.1:1"}}, {b, Address{"10.0.0.2:1"}}, {c, Address{"10.0.0.3:1"}}};
+    GroupMonitor monitor{members, 0, GroupPolicy{}, 1, at(0)};
+    (void)monitor.tick(at(0));
+    (void)monitor.onReport(a, report(a, first, Mark{first, 1}, MemberRole::Primary), at(0), at(5));
+    (void)monitor.onReport(b, report(b, first, Mark{first, 1}), at(0), at(5));
+    cr_assert(monitor.primary()->member == a);
+    (void)monitor.setMembers({members[1], members[2]}, at(10));
+    cr_assert(!monitor.primary());
+    cr_assert(!monitor.lastReport(a) && monitor.lastReport(b));
+    cr_assert(!monitor.age(a, at(20)) && *monitor.age(b, at(20)) == Milliseconds{15});
+}
+
 Test(groups, pacingKeepsTheBudgetAndTheBound)
 {
     const PacingBudget budget;
