--- a/tests/groups/test_monitor.cpp
+++ b/tests/groups/test_monitor.cpp
@@ -53,6 +53,18 @@
     cr_assert_eq(cluster.promotions(), 1);
 }
 
+Test(groups, singleMemberLeadsAndLeadsAgain)
+{
+    ClusterOptions options;
+    options.members = 1;
+    Cluster cluster{options};
+    start(cluster);
+    cluster.kill(0);
+    cluster.run(Milliseconds{500});
+    expectWhole(cluster);
+    cr_assert_eq(cluster.promotions(), 2);
+}
+
 Test(groups, killedPrimaryIsReplaced)
 {
     for (const bool host : {false, true}) {
@@ -122,6 +134,7 @@
         ClusterOptions options;
         options.seed = seed;
         options.writes = seed % 2 == 0;
+        options.policy.silenceBound = seed % 5 == 0 ? Milliseconds{1000} : Milliseconds{200};
         options.delay = seed % 3 == 0 ? Microseconds{3000} : Microseconds{3500};
         Cluster cluster{options};
         start(cluster);
