--- a/src/sessions/readrouter.cpp
+++ b/src/sessions/readrouter.cpp
@@ -147,6 +147,28 @@
     }
 }
 
+std::optional<TimePoint> ReadRouter::coverageExpected(const Mark &mark, TimePoint now) const
+{
+    std::vector<TimePoint> expected;
+    for (std::size_t index = 0; index < members_.size(); ++index) {
+        const auto &member = members_[index];
+        if (index == primary_ || !member.known || member.suspect) {
+            continue;
+        }
+        const bool reached = member.mark >= mark;
+        expected.push_back(reached ? now : expectedAt(member, mark, now) + member.roundTrip / 2);
+    }
+    const auto replicasNeeded = members_.size() / 2;
+    if (replicasNeeded == 0) {
+        return now;
+    }
+    if (expected.size() < replicasNeeded) {
+        return std::nullopt;
+    }
+    std::sort(expected.begin(), expected.end());
+    return std::max(now, expected[replicasNeeded - 1]);
+}
+
 ReadRouter::Member *ReadRouter::find(const MemberName &name) noexcept
 {
     const auto index = indexOf(name);
--- a/src/sessions/readrouter.h
+++ b/src/sessions/readrouter.h
@@ -167,6 +167,12 @@
     /// Takes in that \a member gave no usable reply; the plan asks it no more.
     void failed(ReadPlan &plan, const MemberName &member);
 
+    /// When \a mark, held by the primary, is expected to be held and reported by a majority.
+    ///
+    /// Returns nothing when too few replicas are usable to make up a majority. A write that waits for coverage is told this time;
+    /// see WriteAttempt::coverageExpected().
+    [[nodiscard]] std::optional<TimePoint> coverageExpected(const Mark &mark, TimePoint now) const;
+
     /// The greatest log mark in any report.
     [[nodiscard]] const Mark &highestSeen() const noexcept
     {
--- a/tests/sessions/test_readrouter.cpp
+++ b/tests/sessions/test_readrouter.cpp
@@ -217,6 +217,27 @@
     cr_assert(std::get<GiveUpRead>(step).error.retryAfter);
 }
 
+Test(sessions, coverageIsExpectedFromTheReplicasThatFollow)
+{
+    auto router = routerWithMembers();
+    for (std::uint64_t position = 1; position <= 50; ++position) {
+        const auto time = static_cast<std::int64_t>(position) * 100'000;
+        router.report(reportOf(0, position), at(time));
+        router.report(reportOf(1, position), at(time + 5'000));
+        router.report(reportOf(2, position - 1), at(time + 5'000));
+    }
+    const std::int64_t now = 5'100'000;
+    router.report(reportOf(0, 51), at(now));
+    const auto soon = router.coverageExpected(markOf(51), at(now));
+    cr_assert(soon && *soon > at(now) && *soon < at(now + 20'000), "the near replica takes 5 ms");
+    cr_assert(router.coverageExpected(markOf(50), at(now)) == at(now), "a majority has it already");
+    router.setSuspect(nameOf(1), true);
+    const auto late = router.coverageExpected(markOf(51), at(now));
+    cr_assert(late && *late > at(now + 80'000), "the other one is 100 ms behind");
+    router.setSuspect(nameOf(2), true);
+    cr_assert(!router.coverageExpected(markOf(51), at(now)));
+}
+
 // A plan ends in a bounded number of steps and its required mark never moves, whatever is reported meanwhile.
 Test(sessions, everyReadEnds)
 {
