--- a/tests/sessions/test_readrouter.cpp
+++ b/tests/sessions/test_readrouter.cpp
@@ -217,6 +217,27 @@
     cr_assert(std::get<GiveUpRead>(step).error.retryAfter);
 }
 
+Test(sessions, coverageIsExpectedFromTheReplicasThatFollow)
+{
+    auto router = routerWithMembers();
+    for (std::uint64_t position = 1; position <= 50; ++position) {
+        const auto time = static_cast<std::int64_t>(position) * 100'000;
+        router.report(reportOf(0, position), at(time));
+        router.report(reportOf(1, position), at(time + 5'000));
+        router.report(reportOf(2, position - 1), at(time + 5'000));
+    }
+    const std::int64_t now = 5'100'000;
+    router.report(reportOf(0, 51), at(now));
+    const auto soon = router.coverageExpected(markOf(51), at(now));
+    cr_assert(soon && *soon > at(now) && *soon < at(now + 20'000), "the near replica takes 5 ms");
+    cr_assert(router.coverageExpected(markOf(50), at(now)) == at(now), "a majority has it already");
+    router.setSuspect(nameOf(1), true);
+    const auto late = router.coverageExpected(markOf(51), at(now));
+    cr_assert(late && *late > at(now + 80'000), "the other one is 100 ms behind");
+    router.setSuspect(nameOf(2), true);
+    cr_assert(!router.coverageExpected(markOf(51), at(now)));
+}
+
 // A plan ends in a bounded number of steps and its required mark never moves, whatever is reported meanwhile.
 Test(sessions, everyReadEnds)
 {
@@ -275,6 +296,8 @@
 
 enum class Policy {
     Router,
+    /// The router with the primary's position as the bound of each round.
+    PrimaryBound,
     OnlyWhenIdle,
 };
 
@@ -435,15 +458,20 @@
                 replies.emplace_back(sampled + delayOf(member), markOf(trace_.position(member, sampled)));
             }
         }
+        const auto primaryReply = replies.front();
         std::sort(replies.begin(), replies.end());
         const bool all = replies.size() == memberCount;
-        const auto end = all ? replies.back().first : replies[memberCount / 2].first + roundPatience;
-        schedule(end, [this, reads, replies, began]() {
+        const auto majority = replies[memberCount / 2].first;
+        const auto end = policy_ == Policy::PrimaryBound ? std::max(majority, primaryReply.first)
+            : all                                        ? replies.back().first
+                                                         : majority + roundPatience;
+        schedule(end, [this, reads, replies, primaryReply, began]() {
             std::vector<Mark> logs;
             for (const auto &reply : replies) {
                 logs.push_back(reply.second);
             }
-            router_.confirm(at(began), *acknowledgedBound(logs, memberCount));
+            const auto bound = policy_ == Policy::PrimaryBound ? primaryReply.second : *acknowledgedBound(logs, memberCount);
+            router_.confirm(at(began), bound);
             roundRuns_ = false;
             for (const auto &read : reads) {
                 go(read);
@@ -517,21 +545,24 @@
 {
     const auto trace = makeTrace(setup);
     const auto routed = Player{trace, Policy::Router}.play();
+    const auto primaryBound = Player{trace, Policy::PrimaryBound}.play();
     const auto idle = Player{trace, Policy::OnlyWhenIdle}.play();
     const auto possible = 100.0 * static_cast<double>(allKnowing(trace)) / static_cast<double>(trace.reads.size());
-    std::printf("reads %-28s all-knowing %6.2f%%, routed %6.2f%%, when idle %5.2f%%, primary only 0%%; "
-                "%llu reads, %llu rounds, %llu discarded, %llu unanswered, mean %.1f ms\n",
+    std::printf("reads %-28s all-knowing %6.2f%%, routed %6.2f%%, by the primary's position %6.2f%%, when idle %5.2f%%, primary only 0%%; "
+                "%llu reads, %llu rounds, %llu discarded, %llu unanswered, mean %.1f ms (%.1f)\n",
                 setup.name,
                 possible,
                 routed.share(),
+                primaryBound.share(),
                 idle.share(),
                 static_cast<unsigned long long>(routed.reads),
                 static_cast<unsigned long long>(routed.rounds),
                 static_cast<unsigned long long>(routed.discarded),
                 static_cast<unsigned long long>(routed.unanswered),
-                static_cast<double>(routed.delay) / static_cast<double>(routed.reads) / 1000);
+                static_cast<double>(routed.delay) / static_cast<double>(routed.reads) / 1000,
+                static_cast<double>(primaryBound.delay) / static_cast<double>(primaryBound.reads) / 1000);
     cr_assert(routed.staleAnswers == 0, "stale answers on %s", setup.name);
-    cr_assert(idle.staleAnswers == 0);
+    cr_assert(primaryBound.staleAnswers == 0 && idle.staleAnswers == 0);
     cr_assert(routed.unanswered == 0);
     cr_assert(routed.share() >= idle.share());
     return routed.share() / possible;
