--- a/src/app/configurationservice.cpp
+++ b/src/app/configurationservice.cpp
@@ -52,11 +52,8 @@
 
 } // namespace
 
-ConfigurationService::ConfigurationService(const LiveInstance &self,
-                                           StoreClient &store,
-                                           peer::Client &peers,
-                                           std::uint64_t seed,
-                                           Changed changed)
+ConfigurationService::ConfigurationService(
+    const LiveInstance &self, StoreClient &store, peer::Client &peers, std::uint64_t seed, Changed changed)
     : store_(store)
     , peers_(peers)
     , changed_(std::move(changed))
--- a/src/app/membershipservice.cpp
+++ b/src/app/membershipservice.cpp
@@ -55,12 +55,8 @@
 
 } // namespace
 
-MembershipService::MembershipService(const Settings &settings,
-                                     StoreClient &store,
-                                     peer::Client &peers,
-                                     std::uint64_t seed,
-                                     Changed changed,
-                                     Listed listed)
+MembershipService::MembershipService(
+    const Settings &settings, StoreClient &store, peer::Client &peers, std::uint64_t seed, Changed changed, Listed listed)
     : store_(store)
     , peers_(peers)
     , changed_(std::move(changed))
--- a/src/app/membershipservice.h
+++ b/src/app/membershipservice.h
@@ -25,7 +25,8 @@
     /// Told of each instance list, without the lock held; for leaving endpoints.
     using Listed = std::function<void(const std::vector<ListedInstance> &)>;
 
-    MembershipService(const Settings &settings, StoreClient &store, peer::Client &peers, std::uint64_t seed, Changed changed, Listed listed);
+    MembershipService(
+        const Settings &settings, StoreClient &store, peer::Client &peers, std::uint64_t seed, Changed changed, Listed listed);
     MembershipService(const MembershipService &) = delete;
     MembershipService &operator=(const MembershipService &) = delete;
 
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -176,7 +176,8 @@
     http::ServerOptions operatorOptions;
     operatorOptions.listen = settings.operators.listen;
     operatorOptions.maxThreads = operatorThreads;
-    auto operatorsStarted = http::Server::start(operatorOptions, [this](const http::Request &request) { return operatorApi.handle(request); });
+    auto operatorsStarted =
+        http::Server::start(operatorOptions, [this](const http::Request &request) { return operatorApi.handle(request); });
     if (!operatorsStarted) {
         return operatorsStarted.error();
     }
@@ -224,10 +225,10 @@
                  {{"group", group.text()}, {"member", note.member.text()}, {"term", toText(note.term)}, {"reason", toText(note.reason)}});
     };
     events.askPeers = [this](const GroupName &group) {
-        tasks.add([this, group] { askPeers(group); });
+        addTask([this, group] { askPeers(group); });
     };
     events.holdPeers = [this](const GroupName &group, Milliseconds span) {
-        tasks.add([this, group, span] { tellPeers(group, span); });
+        addTask([this, group, span] { tellPeers(group, span); });
     };
     return events;
 }
@@ -243,9 +244,15 @@
         metrics.observe("forwarded_ms{verb=\"" + std::string(nameOf(statement)) + "\"}", steadyNow() - arrived);
         return answer;
     };
-    handlers.ping = [this](const peer::Ping &ping) { return membership.onPing(ping); };
-    handlers.snapshot = [this] { return membership.snapshot(); };
-    handlers.spread = [this](const SpreadMessage &message) { return configuration.onRequest(message); };
+    handlers.ping = [this](const peer::Ping &ping) {
+        return membership.onPing(ping);
+    };
+    handlers.snapshot = [this] {
+        return membership.snapshot();
+    };
+    handlers.spread = [this](const SpreadMessage &message) {
+        return configuration.onRequest(message);
+    };
     handlers.sight = [this](const peer::Sighting &seen) {
         return sighted(seen);
     };
@@ -259,10 +266,10 @@
         return dispatcher.run(statement, deadline);
     };
     services.ready = [this] {
-        return fleet.view().ready;
+        return isReady();
     };
     services.metrics = [this] {
-        return metrics.page();
+        return metricsPage();
     };
     services.finished = [this](const Statement &statement, const Answer &answer, Microseconds took) {
         finished(statement, answer, took);
@@ -275,7 +282,7 @@
 
 entry::Dispatcher::Sources Proxy::Impl::dispatcherSources()
 {
-    return {[this] { return fleet.view(); },
+    return {[this] { return view(); },
             [this](const GroupName &group) {
                 return ownership.find(group);
             }};
