--- a/tests/groups/test_units.cpp
+++ b/tests/groups/test_units.cpp
@@ -280,6 +280,36 @@
     cr_assert(!monitor.age(a, at(20)) && *monitor.age(b, at(20)) == Milliseconds{15});
 }
 
+Test(groups, refusalByAHigherTermEndsTheAttempt)
+{
+    const std::vector<GroupMember> members{{a, Address{"10.0.0.1:1"}}, {b, Address{"10.0.0.2:1"}}, {c, Address{"10.0.0.3:1"}}};
+    GroupMonitor monitor{members, 0, GroupPolicy{}, 1, at(0)};
+    (void)monitor.tick(at(0));
+    (void)monitor.onReport(a, report(a, Term{}, Mark{}), at(0), at(5));
+    (void)monitor.onReport(b, report(b, Term{}, Mark{}), at(0), at(5));
+    const auto started = monitor.onReport(c, report(c, Term{}, Mark{}), at(0), at(5));
+    cr_assert(monitor.promoting());
+    Term term;
+    for (const auto &action : started) {
+        if (const auto *adopt = std::get_if<SendAdopt>(&action)) {
+            term = adopt->term;
+        }
+    }
+    cr_assert_eq(term.number, 1);
+    const auto holdsLead = [](const GroupActions &actions) {
+        return std::any_of(
+            actions.begin(), actions.end(), [](const GroupAction &action) { return std::holds_alternative<SendLead>(action); });
+    };
+    const TermReply accepted{true, report(a, term, Mark{})};
+    cr_assert(!holdsLead(monitor.onOrderReply(a, OrderKind::Adopt, term, accepted, at(5), at(12))), "one of three is no majority");
+    const TermReply refused{false, report(b, Term{9, 1}, Mark{})};
+    cr_assert(!holdsLead(monitor.onOrderReply(b, OrderKind::Adopt, term, refused, at(5), at(12))));
+    cr_assert(!monitor.promoting());
+    cr_assert_eq(monitor.sighting(at(12)).highest.number, 9);
+    const TermReply late{true, report(c, term, Mark{})};
+    cr_assert(!holdsLead(monitor.onOrderReply(c, OrderKind::Adopt, term, late, at(5), at(13))), "the attempt has ended");
+}
+
 Test(groups, pacingKeepsTheBudgetAndTheBound)
 {
     const PacingBudget budget;
