Trace of a group's decisions and its replay; rank without naming all owners

A GroupMonitor's inputs and actions are recorded as versioned JSON lines; a replay stops at the first difference and shows both sides.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -60,6 +60,9 @@
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
 target_link_libraries(cardamomstep PRIVATE app)
 
+cardamomstep_library(trace base groups)
+cardamomstep_test(trace)
+
 # Templates of these libraries use 0 for null pointers.
 set_source_files_properties(${CMAKE_SOURCE_DIR}/src/http/connection.cpp ${CMAKE_SOURCE_DIR}/src/http/server.cpp
     PROPERTIES COMPILE_OPTIONS -Wno-zero-as-null-pointer-constant)
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -98,9 +98,28 @@
     return all.empty() ? nullptr : all.front();
 }
 
+bool InstanceSet::isBeaten(std::uint64_t groupHash, const LiveInstance &instance) const
+{
+    const auto own = scoreOf(groupHash, stableHash(instance.name.text()));
+    const auto &candidates = byDomain_.at(instance.domain);
+    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate &other) { return scoreOf(groupHash, other.hash) > own; });
+}
+
 std::optional<std::size_t>
 InstanceSet::rank(const GroupName &group, const std::vector<FailureDomain> &domains, const InstanceName &instance) const
 {
+    const auto known =
+        std::lower_bound(instances_.begin(), instances_.end(), instance, [](const LiveInstance &left, const InstanceName &name) {
+            return left.name < name;
+        });
+    const bool isKnown = known != instances_.end() && known->name == instance;
+    if (!isKnown) {
+        return std::nullopt;
+    }
+    // Whatever the group's failure domains are, its owner is the best of its own.
+    if (isBeaten(stableHash(group.text()), *known)) {
+        return std::nullopt;
+    }
     const auto all = owners(group, domains);
     const auto own = std::find_if(all.begin(), all.end(), [&](const LiveInstance *owner) { return owner->name == instance; });
     if (own == all.end()) {
--- a/src/membership/rendezvous.h
+++ b/src/membership/rendezvous.h
@@ -46,6 +46,8 @@
     ownerNear(const GroupName &group, const std::vector<FailureDomain> &domains, const FailureDomain &home) const;
 
     /// Place of \a instance among the owners, from 0; nothing when it is no owner.
+    ///
+    /// For most instances and groups the answer is no after a few comparisons, so a proxy can ask for all groups.
     [[nodiscard]] std::optional<std::size_t>
     rank(const GroupName &group, const std::vector<FailureDomain> &domains, const InstanceName &instance) const;
 
@@ -70,6 +72,7 @@
         std::uint64_t score;
         std::size_t index;
     };
+    [[nodiscard]] bool isBeaten(std::uint64_t groupHash, const LiveInstance &instance) const;
     [[nodiscard]] std::optional<Choice> choose(std::uint64_t groupHash, const std::vector<Candidate> &candidates) const;
 
     /// Invariant: sorted by name, names are unique.
--- /dev/null
+++ b/src/trace/groupinput.h
@@ -0,0 +1,88 @@
+// The inputs of a GroupMonitor as values, so that they can be recorded and given again.
+#pragma once
+
+#include "groups/monitor.h"
+#include "trace/fwd.h"
+
+#include <variant>
+#include <vector>
+
+namespace cardamomstep::trace {
+
+/// GroupMonitor::tick().
+struct Tick {
+};
+/// GroupMonitor::onReport().
+struct Report {
+    MemberName member;
+    MemberReport report;
+    TimePoint sentAt;
+};
+/// GroupMonitor::onLinkFailure().
+struct ReportFailure {
+    MemberName member;
+    LinkFailure failure;
+};
+/// GroupMonitor::onOrderReply().
+struct OrderReply {
+    MemberName member;
+    OrderKind kind = OrderKind::Adopt;
+    Term term;
+    TermReply reply;
+    TimePoint sentAt;
+};
+/// GroupMonitor::onOrderFailure().
+struct OrderFailure {
+    MemberName member;
+    OrderKind kind = OrderKind::Adopt;
+    Term term;
+    LinkFailure failure;
+};
+/// GroupMonitor::onPeerSighting().
+struct Sighting {
+    InstanceName peer;
+    PeerSighting sighting;
+};
+/// GroupMonitor::onStatementEvidence().
+struct StatementEvidence {
+    MemberName member;
+};
+/// GroupMonitor::setRank().
+struct SetRank {
+    unsigned rank = 0;
+};
+/// GroupMonitor::setMembers().
+struct SetMembers {
+    std::vector<GroupMember> members;
+};
+/// GroupMonitor::setPolicy().
+struct SetPolicy {
+    GroupPolicy policy;
+};
+/// GroupMonitor::requestSwitchover().
+struct RequestSwitchover {
+    MemberName leaving;
+};
+/// GroupMonitor::onPeerHold().
+struct PeerHold {
+    TimePoint until;
+};
+
+/// One input of a GroupMonitor.
+using GroupInput = std::variant<Tick,
+                                Report,
+                                ReportFailure,
+                                OrderReply,
+                                OrderFailure,
+                                Sighting,
+                                StatementEvidence,
+                                SetRank,
+                                SetMembers,
+                                SetPolicy,
+                                RequestSwitchover,
+                                PeerHold>;
+
+/// Gives \a input to \a monitor at \a now.
+[[nodiscard]] GroupActions apply(GroupMonitor &monitor, const GroupInput &input, TimePoint now);
+
+} // namespace cardamomstep::trace
--- /dev/null
+++ b/src/trace/replay.cpp
@@ -0,0 +1,97 @@
+// Gives recorded inputs to a fresh machine and finds the first difference.
+#include "trace/replay.h"
+
+#include "trace/grouplines.h"
+
+#include <algorithm>
+
+namespace cardamomstep::trace {
+
+namespace {
+
+/// Longest line that is read; longer ones are no lines of a trace.
+constexpr std::size_t lineBytesMost = std::size_t{1} << 20U;
+
+constexpr const char *nothing = "nothing";
+
+std::optional<ReplayDifference> compareActions(const std::vector<std::string> &stated, const GroupActions &actions, std::size_t line)
+{
+    const auto count = std::max(stated.size(), actions.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto before = index < stated.size() ? stated[index] : std::string(nothing);
+        const auto after = index < actions.size() ? actionText(actions[index]) : std::string(nothing);
+        if (before != after) {
+            return ReplayDifference{line, before, after};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ReplayDifference> replayStep(GroupMonitor &monitor, const GroupStep &step, std::size_t line)
+{
+    if (step.input) {
+        return compareActions(step.actions, apply(monitor, *step.input, step.now), line);
+    }
+    const auto reached = outcomeText(monitor.primary());
+    if (*step.outcome != reached) {
+        return ReplayDifference{line, *step.outcome, reached};
+    }
+    return std::nullopt;
+}
+
+Error at(Error error, std::size_t line)
+{
+    error.position = SourcePosition{"trace", static_cast<std::uint32_t>(line), {}};
+    return error;
+}
+
+} // namespace
+
+Result<ReplayReport> replay(std::istream &lines)
+{
+    std::string text;
+    std::size_t line = 1;
+    std::getline(lines, text);
+    const auto start = readStart(text);
+    if (!start) {
+        return at(start.error(), line);
+    }
+    GroupMonitor monitor{start->members, start->rank, start->policy, start->seed, start->now};
+    ReplayReport report;
+    while (std::getline(lines, text)) {
+        ++line;
+        if (text.size() > lineBytesMost) {
+            return at(Error{ErrorKind::TooLarge, "the line is too long"}, line);
+        }
+        const auto step = readStep(text);
+        if (!step) {
+            return at(step.error(), line);
+        }
+        ++report.steps;
+        report.difference = replayStep(monitor, *step, line);
+        if (report.difference) {
+            break;
+        }
+    }
+    return report;
+}
+
+ReplayExit runReplay(std::istream &lines, std::ostream &out, std::ostream &faults)
+{
+    const auto report = replay(lines);
+    if (!report) {
+        faults << report.error() << "\n";
+        return ReplayExit::Unreadable;
+    }
+    if (!report->difference) {
+        out << "same: " << report->steps << " steps\n";
+        return ReplayExit::Same;
+    }
+    const auto &difference = *report->difference;
+    out << "different at line " << difference.line << "\n"
+        << "  stated:   " << difference.stated << "\n"
+        << "  replayed: " << difference.replayed << "\n";
+    return ReplayExit::Different;
+}
+
+} // namespace cardamomstep::trace
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -74,6 +74,25 @@
     cr_assert(holds);
 }
 
+Test(membership, rankIsThePlaceAmongTheOwners)
+{
+    const bool holds = rc::check("rank is the place among the owners", [] {
+        const InstanceSet set{fleetOf(*rc::gen::inRange<std::size_t>(1, 30))};
+        std::vector<FailureDomain> domains{FailureDomain{"elsewhere"}};
+        domains.insert(domains.end(), threeDomains.begin(), threeDomains.begin() + *rc::gen::inRange(0, 4));
+        const auto group = groupAt(*rc::gen::inRange<std::size_t>(0, 1000));
+        const auto owners = set.owners(group, domains);
+        for (const auto &instance : set.instances()) {
+            const auto own = std::find_if(owners.begin(), owners.end(), [&](const auto *owner) { return owner->name == instance.name; });
+            const auto rank = set.rank(group, domains, instance.name);
+            RC_ASSERT(rank.has_value() == (own != owners.end()));
+            RC_ASSERT(!rank || *rank == static_cast<std::size_t>(own - owners.begin()));
+        }
+        RC_ASSERT(!set.rank(group, domains, InstanceName{"unknown"}).has_value());
+    });
+    cr_assert(holds);
+}
+
 Test(membership, groupsAndRanksSpreadEvenly)
 {
     const InstanceSet set{fleetOf(30)};
