--- /dev/null
+++ b/src/status/fwd.h
@@ -0,0 +1,11 @@
+// Forward declarations of the status slice: what the system writes back as records.
+#pragma once
+
+namespace cardamomstep {
+
+struct DuePlan;
+struct PlanSight;
+struct PendingStatus;
+class StatusQueue;
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/status/statusqueue.cpp
@@ -0,0 +1,47 @@
+// The records that wait to be written back.
+#include "status/statusqueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstep {
+
+bool StatusQueue::add(Record record)
+{
+    auto key = record.key();
+    const bool isNew = pending_.find(key) == pending_.end();
+    if (isNew && pending_.size() >= limits_.most) {
+        return false;
+    }
+    pending_.insert_or_assign(std::move(key), std::move(record));
+    return true;
+}
+
+std::optional<Record> StatusQueue::next(TimePoint now)
+{
+    if (pending_.empty() || now < notBefore_) {
+        return std::nullopt;
+    }
+    auto first = pending_.begin();
+    auto record = std::move(first->second);
+    pending_.erase(first);
+    notBefore_ = now + limits_.interval;
+    return record;
+}
+
+void StatusQueue::written() noexcept
+{
+    failures_ = 0;
+}
+
+void StatusQueue::failed(Record record, TimePoint now)
+{
+    constexpr unsigned mostDoublings = 10;
+    const auto doublings = std::min(failures_, mostDoublings);
+    const auto pause = std::min(limits_.longestPause, limits_.firstPause * (1U << doublings));
+    ++failures_;
+    notBefore_ = now + pause;
+    pending_.try_emplace(record.key(), std::move(record));
+}
+
+} // namespace cardamomstep
