--- a/src/app/ownership.cpp
+++ b/src/app/ownership.cpp
@@ -4,7 +4,6 @@
 #include "base/hash.h"
 #include "groups/pacing.h"
 #include "logging/log.h"
-#include "records/checks.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +14,8 @@
 
 constexpr std::uint32_t membersInGroup = 3;
 constexpr double percent = 100.0;
+/// How long an owner that was given up still serves those who have not heard of it.
+constexpr Seconds retirement{5};
 
 std::vector<FailureDomain> domainsOf(const DatabaseGroup &group)
 {
@@ -67,7 +68,6 @@
 
 void Ownership::reconcile(const entry::FleetView &view)
 {
-    std::map<GroupName, Owned> ended;
     const std::unique_lock lock(mutex_);
     std::map<GroupName, Owned> next;
     for (const auto &name : view.catalog->groupNames()) {
@@ -91,38 +91,73 @@
             continue;
         }
         auto owner = makeOwner(view, name, *record, owners, static_cast<unsigned>(*rank));
-        next.emplace(name, Owned{std::move(owner), std::move(owners), *record});
+        next.emplace(name, Owned{std::move(owner), std::move(owners), *record, {}});
         logEvent(LogLevel::Info, "group-owned", {{"group", name.text()}, {"rank", static_cast<std::int64_t>(*rank)}});
     }
-    for (const auto &[name, owned] : owned_) {
+    for (auto &[name, owned] : owned_) {
         logEvent(LogLevel::Info, "group-released", {{"group", name.text()}});
+        retired_.insert_or_assign(name, Retired{std::move(owned.owner), steadyNow()});
     }
-    ended.swap(owned_);
     owned_.swap(next);
     const auto policy = policyFor(owned_.size());
     for (auto &[name, owned] : owned_) {
         owned.owner->setPolicy(policy);
     }
     catalog_ = view.catalog;
-    tellLeaving(*catalog_);
+    tellLeaving();
 }
 
 void Ownership::setListedLeaving(std::vector<MemberName> leaving)
 {
     const std::lock_guard lock(mutex_);
     listedLeaving_ = std::move(leaving);
-    tellLeaving(*catalog_);
+    tellLeaving();
+}
+
+void Ownership::refresh()
+{
+    std::vector<std::shared_ptr<GroupOwner>> ended;
+    const std::lock_guard lock(mutex_);
+    tellLeaving();
+    const auto longAgo = steadyNow() - retirement;
+    for (auto retired = retired_.begin(); retired != retired_.end();) {
+        if (retired->second.since < longAgo && transactions_.countOf(retired->first) == 0) {
+            ended.push_back(std::move(retired->second.owner));
+            retired = retired_.erase(retired);
+        } else {
+            ++retired;
+        }
+    }
 }
 
-void Ownership::tellLeaving(const Catalog &catalog)
+void Ownership::tellLeaving()
 {
+    const auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
     for (auto &[name, owned] : owned_) {
-        auto leaving = leavingMembers(catalog, name);
-        leaving.insert(leaving.end(), listedLeaving_.begin(), listedLeaving_.end());
+        owned.plans = endpointPlans(*catalog_, name, now);
+        auto leaving = listedLeaving_;
+        for (const auto &plan : owned.plans) {
+            if (plan.due) {
+                leaving.push_back(plan.member);
+            }
+        }
         owned.owner->setLeaving(leaving);
     }
 }
 
+std::vector<DuePlan> Ownership::plansToWatch() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<DuePlan> plans;
+    for (const auto &[name, owned] : owned_) {
+        const bool first = !owned.owners.empty() && owned.owners.front().name == self_.name;
+        if (first) {
+            plans.insert(plans.end(), owned.plans.begin(), owned.plans.end());
+        }
+    }
+    return plans;
+}
+
 std::shared_ptr<GroupOwner> Ownership::makeOwner(const entry::FleetView &view,
                                                  const GroupName &name,
                                                  const DatabaseGroup &record,
@@ -162,7 +197,11 @@
 {
     const std::lock_guard lock(mutex_);
     const auto found = owned_.find(group);
-    return found == owned_.end() ? nullptr : found->second.owner;
+    if (found != owned_.end()) {
+        return found->second.owner;
+    }
+    const auto retired = retired_.find(group);
+    return retired == retired_.end() ? nullptr : retired->second.owner;
 }
 
 std::vector<std::shared_ptr<GroupOwner>> Ownership::all() const
@@ -192,8 +231,10 @@
 void Ownership::clear()
 {
     std::map<GroupName, Owned> ended;
+    std::map<GroupName, Retired> retired;
     const std::lock_guard lock(mutex_);
     ended.swap(owned_);
+    retired.swap(retired_);
 }
 
 } // namespace cardamomstep
--- a/src/app/ownership.h
+++ b/src/app/ownership.h
@@ -7,6 +7,7 @@
 #include "owner/transactions.h"
 #include "peer/client.h"
 #include "settings/settings.h"
+#include "status/plans.h"
 
 #include <map>
 #include <memory>
@@ -28,8 +29,17 @@
     void setListedLeaving(std::vector<MemberName> leaving);
 
     /// The owner of \a group; null when this proxy does not own it.
+    ///
+    /// An owner that was given up is still found for a while: other proxies learn of the change with some delay, and open
+    /// transactions stay where they are.
     [[nodiscard]] std::shared_ptr<GroupOwner> find(const GroupName &group) const;
 
+    /// Looks at the plans again, since their time may have come, and ends owners that were given up long enough ago.
+    void refresh();
+
+    /// The plans for members of groups where this proxy is the first owner.
+    [[nodiscard]] std::vector<DuePlan> plansToWatch() const;
+
     /// All owned groups, sorted by name.
     [[nodiscard]] std::vector<std::shared_ptr<GroupOwner>> all() const;
 
@@ -45,6 +55,7 @@
         std::vector<LiveInstance> owners;
         /// The configuration that the owner was made for.
         DatabaseGroup record;
+        std::vector<DuePlan> plans;
     };
 
     [[nodiscard]] std::shared_ptr<GroupOwner> makeOwner(const entry::FleetView &view,
@@ -53,7 +64,7 @@
                                                         const std::vector<LiveInstance> &owners,
                                                         unsigned rank);
     [[nodiscard]] GroupPolicy policyFor(std::size_t groups) const;
-    void tellLeaving(const Catalog &catalog);
+    void tellLeaving();
 
     const Settings &settings_;
     LiveInstance self_;
@@ -63,6 +74,7 @@
     mutable std::mutex mutex_;
     /// Guarded by mutex_.
     std::map<GroupName, Owned> owned_;
+    std::map<GroupName, Retired> retired_;
     std::vector<MemberName> listedLeaving_;
     std::shared_ptr<const Catalog> catalog_ = Catalog::empty();
 };
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -6,6 +6,7 @@
 #include "app/operatorenvironment.h"
 #include "app/ownership.h"
 #include "app/periodic.h"
+#include "app/statuswriter.h"
 #include "app/taskpool.h"
 #include "entry/callerapi.h"
 #include "entry/dispatcher.h"
@@ -19,6 +20,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -30,7 +32,11 @@
 constexpr unsigned operatorThreads = 16;
 constexpr Milliseconds peerTimeout{200};
 constexpr Milliseconds drainPoll{10};
+/// A leaving proxy serves on until no statement has come for this long.
+constexpr Milliseconds quietTime{1'000};
 constexpr Milliseconds maintenancePeriod{100};
+/// Plans are looked at in every so many rounds of maintenance.
+constexpr std::uint64_t planRounds = 5;
 constexpr int hexadecimalDigits = 16;
 
 std::uint64_t drawSeed()
@@ -94,6 +100,9 @@
     void askPeers(const GroupName &group);
     void tellPeers(const GroupName &group, std::optional<Milliseconds> hold);
     [[nodiscard]] peer::Sighting sighted(const peer::Sighting &seen);
+    [[nodiscard]] peer::Sighting sightingOf(const GroupOwner &owner, const GroupName &group) const;
+    void watchPlan(const DuePlan &plan);
+    [[nodiscard]] bool isQuiet(const DuePlan &plan, const GroupOwner &owner);
     [[nodiscard]] entry::FleetView view() const;
     [[nodiscard]] bool isReady() const;
     void onFleetChanged();
@@ -102,6 +111,8 @@
     [[nodiscard]] RequestId drawRequestId();
     void reconcile();
     [[nodiscard]] Milliseconds maintain();
+    void beginLeaving();
+    void serveUntilQuiet(TimePoint until);
     [[nodiscard]] std::string metricsPage();
 
     Settings settings;
@@ -119,6 +130,7 @@
     Ownership ownership;
     FleetEnvironment environment;
     RecordWriter records;
+    StatusWriter status;
     operators::OperatorApi<RecordWriter, FleetEnvironment> operatorApi;
     entry::Dispatcher dispatcher;
     entry::CallerApi callers;
@@ -129,6 +141,9 @@
     std::unique_ptr<http::Server> operatorServer;
     std::unique_ptr<TaskPool> tasks;
     std::unique_ptr<Periodic> maintenance;
+    // Used by the maintenance thread only.
+    std::uint64_t maintenanceRound = 0;
+    std::map<RecordName, std::pair<std::uint64_t, PlanProgress>> planProgressTold;
 };
 
 Proxy::Impl::Impl(const Settings &given)
@@ -143,6 +158,7 @@
     , ownership(settings, self, groupEvents(), transactions, seed)
     , environment(self.name, configuration, membership)
     , records(store, configuration, seed)
+    , status(store, self.name, seed)
     , operatorApi(records, environment, {.token = given.operators.token})
     , dispatcher(self, dispatcherSources(), peers, transactions)
     , callers(callerServices(), {.tokenBytes = given.limits.tokenBytes, .maxWindow = given.limits.maxWindow}, given.limits.inFlight)
@@ -184,6 +200,7 @@
     operatorServer = std::move(*operatorsStarted);
     configuration.start();
     membership.start();
+    status.start();
     maintenance = std::make_unique<Periodic>([this] { return maintain(); });
     return Success{};
 }
@@ -194,6 +211,7 @@
         return;
     }
     maintenance.reset();
+    status.stop();
     operatorServer.reset();
     callerServer.reset();
     peerServer.reset();
@@ -209,6 +227,9 @@
 {
     GroupEvents events;
     events.primaryChanged = [this](const GroupName &group, const PrimaryChanged &change) {
+        if (change.reason != PromotionReason::Observed) {
+            status.onPromotion(group, change.previous, change.member, change.term, toText(change.reason));
+        }
         metrics.count("primary_changes_total{reason=\"" + std::string(toText(change.reason)) + "\"}");
         logEvent(LogLevel::Info,
                  "primary-changed",
@@ -334,7 +355,9 @@
     }
     for (const auto &other : ownership.otherOwners(group)) {
         addTask([this, owner, group, other, hold] {
-            const auto result = peers.sight(other.address, {self.name, group, owner->sighting(), hold}, peerTimeout);
+            auto told = sightingOf(*owner, group);
+            told.hold = hold;
+            const auto result = peers.sight(other.address, told, peerTimeout);
             const auto *seen = std::get_if<peer::Sighting>(&result);
             if (seen != nullptr && !seen->from.empty()) {
                 owner->onPeerSighting(seen->from, seen->seen);
@@ -353,7 +376,60 @@
         owner->hold(*seen.hold);
     }
     owner->onPeerSighting(seen.from, seen.seen);
-    return {self.name, seen.group, owner->sighting(), std::nullopt};
+    return sightingOf(*owner, seen.group);
+}
+
+peer::Sighting Proxy::Impl::sightingOf(const GroupOwner &owner, const GroupName &group) const
+{
+    peer::Sighting sighting;
+    sighting.from = self.name;
+    sighting.group = group;
+    sighting.seen = owner.sighting();
+    sighting.busy = owner.busyMembers();
+    sighting.revision = configuration.revision();
+    return sighting;
+}
+
+// Stop plans
+
+void Proxy::Impl::watchPlan(const DuePlan &plan)
+{
+    const auto owner = ownership.find(plan.group);
+    if (!owner) {
+        return;
+    }
+    const auto primary = owner->snapshot().primary;
+    PlanSight sight;
+    sight.due = plan.due;
+    sight.leads = primary && primary->member == plan.member;
+    sight.quiet = plan.due && !sight.leads && isQuiet(plan, *owner);
+    const auto progress = planProgress(sight);
+    const auto known = planProgressTold.find(plan.plan);
+    const bool told = known != planProgressTold.end() && known->second == std::pair{plan.version, progress};
+    if (!told) {
+        planProgressTold[plan.plan] = {plan.version, progress};
+        status.onPlan(plan.plan, progress, planDetail(sight));
+        logEvent(LogLevel::Info, "plan-progress", {{"plan", plan.plan.text()}, {"detail", planDetail(sight)}});
+    }
+}
+
+bool Proxy::Impl::isQuiet(const DuePlan &plan, const GroupOwner &owner)
+{
+    const auto isBusy = [&plan](const std::vector<MemberName> &busy) {
+        return std::find(busy.begin(), busy.end(), plan.member) != busy.end();
+    };
+    if (isBusy(owner.busyMembers())) {
+        return false;
+    }
+    for (const auto &other : ownership.otherOwners(plan.group)) {
+        const auto result = peers.sight(other.address, sightingOf(owner, plan.group), peerTimeout);
+        const auto *seen = std::get_if<peer::Sighting>(&result);
+        const bool agrees = seen != nullptr && seen->revision.value >= plan.version && !isBusy(seen->busy);
+        if (!agrees) {
+            return false;
+        }
+    }
+    return true;
 }
 
 // The fleet
@@ -413,9 +489,38 @@
     }
     configuration.setInstances(membership.owners(), membership.listedDomains());
     membership.setConfiguration(configuration.revision());
+    if (++maintenanceRound % planRounds == 0) {
+        const auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+        if (instancePlanDue(*configuration.catalog(), self.name, now)) {
+            beginLeaving();
+        }
+        ownership.refresh();
+        for (const auto &plan : ownership.plansToWatch()) {
+            watchPlan(plan);
+        }
+    }
     return maintenancePeriod;
 }
 
+// Stopping
+
+void Proxy::Impl::beginLeaving()
+{
+    if (draining.exchange(true)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "leaving", {});
+    callers.beginDraining();
+    membership.leave();
+}
+
+void Proxy::Impl::serveUntilQuiet(TimePoint until)
+{
+    while (steadyNow() < until && steadyNow() - callers.lastArrival() < quietTime) {
+        std::this_thread::sleep_for(drainPoll);
+    }
+}
+
 std::string Proxy::Impl::metricsPage()
 {
     metrics.set("configuration_revision", static_cast<double>(configuration.revision().value));
@@ -457,10 +562,10 @@
 
 bool Proxy::drain()
 {
-    impl_->draining = true;
-    impl_->callers.beginDraining();
-    impl_->membership.leave();
+    impl_->beginLeaving();
     const auto until = steadyNow() + impl_->settings.drain;
+    impl_->serveUntilQuiet(until);
+    impl_->callers.beginRefusing();
     const auto busy = [this] {
         return impl_->callers.inFlight() + impl_->forwardedInFlight + impl_->transactions.size() > 0;
     };
--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -75,12 +75,17 @@
     if (request.path == "/metrics") {
         return page(statusOk, "text/plain", services_.metrics());
     }
-    return runStatement(request);
+    auto response = runStatement(request);
+    if (draining_) {
+        response.headers["connection"] = "close";
+    }
+    return response;
 }
 
 http::Response CallerApi::runStatement(const http::Request &request)
 {
     const auto arrived = steadyNow();
+    lastArrival_ = arrived;
     auto statement = readStatement(request, limits_);
     if (!statement) {
         return writeAnswer(failedAnswer(statement.error()), RequestId{});
@@ -100,7 +105,7 @@
 {
     const InFlight mine(inFlight_);
     const bool opensNothing = !statement.transaction.empty();
-    if (draining_ && !opensNothing) {
+    if (refusing_ && !opensNothing) {
         return failedAnswer(Error{ErrorKind::Draining, "this proxy is stopping"}.comingBackAfter(Milliseconds{0}));
     }
     if (mine.before() >= maxInFlight_) {
--- a/src/entry/callerapi.h
+++ b/src/entry/callerapi.h
@@ -34,12 +34,25 @@
     /// Answers one request; blocks while its statement runs.
     [[nodiscard]] http::Response handle(const http::Request &request);
 
-    /// From now on new statements are refused, except those of open transactions.
+    /// From now on this proxy says that it is not ready and closes each caller's connection with its next answer, so that
+    /// callers go elsewhere; statements that come nevertheless are served.
     void beginDraining() noexcept
     {
         draining_ = true;
     }
 
+    /// From now on new statements are refused, except those of open transactions.
+    void beginRefusing() noexcept
+    {
+        refusing_ = true;
+    }
+
+    /// When the last statement came; the construction of this when none has come.
+    [[nodiscard]] TimePoint lastArrival() const noexcept
+    {
+        return lastArrival_;
+    }
+
     /// Statements that run now.
     [[nodiscard]] std::uint32_t inFlight() const noexcept
     {
@@ -55,6 +68,8 @@
     std::uint32_t maxInFlight_;
     std::atomic<std::uint32_t> inFlight_{0};
     std::atomic<bool> draining_{false};
+    std::atomic<bool> refusing_{false};
+    std::atomic<TimePoint> lastArrival_{steadyNow()};
 };
 
 } // namespace cardamomstep::entry
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -98,6 +98,18 @@
     return core_->monitor.sighting(steadyNow());
 }
 
+std::vector<MemberName> GroupOwner::busyMembers() const
+{
+    const std::lock_guard lock(core_->mutex);
+    std::vector<MemberName> busy;
+    for (const auto &[name, member] : core_->members) {
+        if (member->links.inUse() > 0) {
+            busy.push_back(name);
+        }
+    }
+    return busy;
+}
+
 GroupSnapshot GroupOwner::snapshot() const
 {
     const std::lock_guard lock(core_->mutex);
--- a/src/owner/groupowner.h
+++ b/src/owner/groupowner.h
@@ -63,6 +63,9 @@
     /// What to tell the other owners.
     [[nodiscard]] PeerSighting sighting() const;
 
+    /// Members at which this proxy has statements or transactions.
+    [[nodiscard]] std::vector<MemberName> busyMembers() const;
+
     [[nodiscard]] GroupSnapshot snapshot() const;
 
 private:
--- a/src/owner/transactions.cpp
+++ b/src/owner/transactions.cpp
@@ -1,6 +1,7 @@
 // The open transactions of one proxy, with the connections that they hold.
 #include "owner/transactions.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamomstep {
@@ -74,6 +75,15 @@
     return found == pinned_.end() ? std::nullopt : std::optional<GroupName>(found->second.transaction.group);
 }
 
+std::size_t Transactions::countOf(const GroupName &group)
+{
+    const std::lock_guard lock(mutex_);
+    const auto isOfGroup = [&group](const auto &item) {
+        return item.second.transaction.group == group;
+    };
+    return static_cast<std::size_t>(std::count_if(pinned_.begin(), pinned_.end(), isOfGroup));
+}
+
 std::size_t Transactions::size()
 {
     const std::lock_guard lock(mutex_);
--- a/src/owner/transactions.h
+++ b/src/owner/transactions.h
@@ -44,6 +44,9 @@
     /// The group of an open transaction; none when it is not open.
     [[nodiscard]] std::optional<GroupName> groupOf(const TransactionId &id);
 
+    /// Open transactions of \a group.
+    [[nodiscard]] std::size_t countOf(const GroupName &group);
+
     [[nodiscard]] std::size_t size();
 
 private:
--- a/src/peer/impl/peercodec.cpp
+++ b/src/peer/impl/peercodec.cpp
@@ -276,6 +276,10 @@
     message.set_log(toText(sighting.seen.log));
     message.set_age_ms(sighting.seen.age.count());
     message.set_hold_ms(sighting.hold ? sighting.hold->count() : absent);
+    message.set_revision(sighting.revision.value);
+    for (const auto &member : sighting.busy) {
+        message.add_busy(member.text());
+    }
     return message;
 }
 
@@ -292,6 +296,10 @@
     if (message.hold_ms() >= 0) {
         sighting.hold = Milliseconds{message.hold_ms()};
     }
+    sighting.revision = Revision{message.revision()};
+    for (const auto &member : message.busy()) {
+        sighting.busy.emplace_back(member);
+    }
     return sighting;
 }
 
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -9,6 +9,7 @@
 #include "peer/fwd.h"
 
 #include <optional>
+#include <vector>
 
 namespace cardamomstep::peer {
 
@@ -28,6 +29,10 @@
     PeerSighting seen;
     /// Hold writes for this long; zero releases them; absent says nothing about it.
     std::optional<Milliseconds> hold;
+    /// Members at which the sender has statements or transactions.
+    std::vector<MemberName> busy;
+    /// Configuration revision in force at the sender.
+    Revision revision;
 };
 
 } // namespace cardamomstep::peer
