--- a/tests/groups/test_monitor.cpp
+++ b/tests/groups/test_monitor.cpp
@@ -315,6 +315,22 @@
     cr_assert_eq(cluster.promotions(), 2);
 }
 
+Test(groups, restartedReplicaIsToldAgainWhomToFollow)
+{
+    Cluster cluster;
+    start(cluster);
+    const int replica = replicaOf(cluster);
+    for (int time = 0; time < 2; ++time) {
+        cluster.kill(replica);
+        cluster.run(Milliseconds{300});
+        cluster.restart(replica);
+        cluster.run(Milliseconds{1500});
+        cr_assert(cluster.members[replica].mark().position + 20 > cluster.members[cluster.primary()].mark().position);
+    }
+    expectWhole(cluster);
+    cr_assert_eq(cluster.promotions(), 1);
+}
+
 Test(groups, restartedPrimaryThatCameBackAsReplicaIsReplaced)
 {
     Cluster cluster;
