--- a/tests/connections/test_connections.cpp
+++ b/tests/connections/test_connections.cpp
@@ -183,6 +183,7 @@
     ConnectionPool pool;
     (void)pool.setAllowed(4, at(0));
     const auto key = openedKey(pool.take(at(500), at(0)));
+    cr_assert(!pool.giveBack(key, at(1)) && !pool.giveBack(key + 1, at(1)), "only a connection in use can be given back");
     pool.opened(key, at(12));
     cr_assert(pool.giveBack(key, at(20)));
     cr_assert(pool.take(at(500), at(30)) == (ConnectionStep{ReuseConnection{key}}));
--- a/tests/requests/test_admission.cpp
+++ b/tests/requests/test_admission.cpp
@@ -116,6 +116,21 @@
     cr_assert(!queue.nextWake());
 }
 
+Test(requests, aServiceBelowItsPartGoesBeforeOneOnLentSlots)
+{
+    AdmissionLimits limits;
+    limits.shareMemory = Microseconds{10'000};
+    AdmissionQueue queue{limits};
+    queue.setShares({{ServiceName{"small"}, 0.1}, {ServiceName{"large"}, 0.9}});
+    (void)queue.request(requestOf(1, 900'000, "small"), at(0));
+    (void)queue.request(requestOf(2, 910'000, "small"), at(0));
+    cr_assert(admitted(queue.finished(1, at(40'000))) == Tickets{2}, "small has overdrawn its part, but nobody else waits");
+    (void)queue.request(requestOf(3, 700'000, "small"), at(40'000));
+    (void)queue.request(requestOf(4, 800'000, "large"), at(40'000));
+    cr_assert(admitted(queue.finished(2, at(45'000))) == Tickets{4});
+    cr_assert(admitted(queue.finished(4, at(50'000))) == Tickets{3});
+}
+
 Test(requests, cancelledRequestsLeaveTheQueue)
 {
     AdmissionQueue queue;
--- a/tests/requests/test_attempt.cpp
+++ b/tests/requests/test_attempt.cpp
@@ -127,6 +127,20 @@
     cr_assert(attempt.sends() == 1);
 }
 
+Test(requests, aReplicasFindingIsNotFinal)
+{
+    RetryBudget budget;
+    WriteAttempt attempt{needUntil(1000), budget};
+    (void)attempt.start({termOf(3), true}, at(0));
+    (void)attempt.sendFailed(lost(), at(5));
+    auto onReplica = outcomeAt(termOf(3), Mark{termOf(3), 12});
+    onReplica.report.role = MemberRole::Replica;
+    cr_assert(is<AskOutcome>(attempt.outcome(onReplica, at(10))));
+    auto superseded = outcomeAt(termOf(3), Mark{termOf(3), 12});
+    superseded.report.adopted = termOf(4);
+    cr_assert(is<AskOutcome>(attempt.outcome(superseded, at(40))));
+}
+
 Test(requests, absenceUnderACoveredHigherTermIsTheProofThatAllowsAResend)
 {
     RetryBudget budget;
