Try each new primary once without drawing on the retry budget

Writes that had not been sent when the primary changed drew a retry each, so a change of primary under more writes than the budget holds refused some of them.

--- a/src/requests/attempt.cpp
+++ b/src/requests/attempt.cpp
@@ -188,7 +188,9 @@
     if (need_.commit) {
         return fail(Error{ErrorKind::TransactionAborted, "the transaction's connection was lost before the commit was sent"});
     }
-    if (!timeFor(need_.exchange, now) || !budget_->take()) {
+    // Each primary is tried once for free; only trying the same one again can multiply load.
+    const bool samePrimary = view_.term == sentTerm_;
+    if (!timeFor(need_.exchange, now) || (samePrimary && !budget_->take())) {
         return fail(std::move(otherwise));
     }
     return sendOrWait(now);
--- a/src/requests/attempt.h
+++ b/src/requests/attempt.h
@@ -124,6 +124,8 @@
     [[nodiscard]] WriteStep start(const LeaderView &view, TimePoint now);
 
     /// The exchange that SendWrite asked for failed.
+    ///
+    /// Call primaryChanged() first when the primary may have changed meanwhile, so that the same one is not tried again.
     [[nodiscard]] WriteStep sendFailed(const LinkFailure &failure, TimePoint now);
 
     /// The member replied to what SendWrite sent; the shell has checked the exchange id and that the reply is whole.
--- a/tests/requests/test_admission.cpp
+++ b/tests/requests/test_admission.cpp
@@ -345,6 +345,22 @@
     return static_cast<double>(count) * 1'000'000 / static_cast<double>(load.length);
 }
 
+// The same kind of load in arrival order without any refusal.
+double fifoGoodput(const Load &load, double rate, std::int64_t window)
+{
+    Random random{11};
+    std::vector<std::int64_t> freeAt(load.slots, 0);
+    std::uint64_t inTime = 0;
+    for (std::int64_t now = 0; now < load.length; now += 1 + exponential(random, 1'000'000 / rate)) {
+        const auto slot = std::min_element(freeAt.begin(), freeAt.end());
+        const auto taken = static_cast<std::int64_t>(load.meanService / 2) + exponential(random, load.meanService / 2);
+        *slot = std::max(now, *slot) + taken;
+        const auto own = random.below(10) < 7 ? window : 3 * window;
+        inTime += *slot <= now + own ? 1 : 0;
+    }
+    return perSecond(inTime, load);
+}
+
 void goodputUnderOverload(const char *name, std::uint32_t slots, double meanService, std::int64_t window)
 {
     double peak = 0;
@@ -357,12 +373,14 @@
         const auto outcome = Bench{load}.play()["s"];
         const auto goodput = perSecond(outcome.inTime, load);
         peak = std::max(peak, goodput);
-        std::printf("admission %-10s %.0fx: %6.1f/s of %6.1f/s in time, %llu late, %llu refused on arrival, %llu later (%llu in the second "
+        std::printf("admission %-10s %.0fx: %6.1f/s of %6.1f/s in time (fifo %6.1f/s), %llu late, %llu refused on arrival, %llu later "
+                    "(%llu in the second "
                     "half of the window)\n",
                     name,
                     times,
                     goodput,
                     capacity,
+                    fifoGoodput(load, capacity * times, window),
                     static_cast<unsigned long long>(outcome.late),
                     static_cast<unsigned long long>(outcome.refusedOnArrival),
                     static_cast<unsigned long long>(outcome.expired),
--- a/tests/requests/test_attempt.cpp
+++ b/tests/requests/test_attempt.cpp
@@ -179,6 +179,23 @@
     cr_assert(answer.ran == Ran::No && answer.error->kind == ErrorKind::EndpointUnreachable && answer.error->retryAfter);
 }
 
+Test(requests, anUnsentWriteGoesToANewPrimaryWithoutABudget)
+{
+    RetryBudget budget{{0.1, 0}};
+    const LinkFailure unsent{LinkFault::Closed, true, "not sent"};
+    WriteAttempt attempt{needUntil(1000), budget};
+    (void)attempt.start({termOf(3), true}, at(0));
+    cr_assert(is<SendWrite>(attempt.primaryChanged({termOf(4), false}, at(1))));
+    const WriteStep atNew = SendWrite{termOf(4)};
+    cr_assert(attempt.sendFailed(unsent, at(2)) == atNew);
+    (void)attempt.primaryChanged({}, at(3));
+    cr_assert(is<WaitPrimary>(attempt.sendFailed(unsent, at(4))));
+    const WriteStep atNext = SendWrite{termOf(5)};
+    cr_assert(attempt.primaryChanged({termOf(5), false}, at(9)) == atNext);
+    const auto answer = answerOf(attempt.sendFailed(unsent, at(10)));
+    cr_assert(answer.ran == Ran::No);
+}
+
 Test(requests, aSupersededPrimaryRefusalWaitsForTheNextOne)
 {
     RetryBudget budget;
