--- a/tests/requests/test_admission.cpp
+++ b/tests/requests/test_admission.cpp
@@ -116,6 +116,21 @@
     cr_assert(!queue.nextWake());
 }
 
+Test(requests, aServiceBelowItsPartGoesBeforeOneOnLentSlots)
+{
+    AdmissionLimits limits;
+    limits.shareMemory = Microseconds{10'000};
+    AdmissionQueue queue{limits};
+    queue.setShares({{ServiceName{"small"}, 0.1}, {ServiceName{"large"}, 0.9}});
+    (void)queue.request(requestOf(1, 900'000, "small"), at(0));
+    (void)queue.request(requestOf(2, 910'000, "small"), at(0));
+    cr_assert(admitted(queue.finished(1, at(40'000))) == Tickets{2}, "small has overdrawn its part, but nobody else waits");
+    (void)queue.request(requestOf(3, 700'000, "small"), at(40'000));
+    (void)queue.request(requestOf(4, 800'000, "large"), at(40'000));
+    cr_assert(admitted(queue.finished(2, at(45'000))) == Tickets{4});
+    cr_assert(admitted(queue.finished(4, at(50'000))) == Tickets{3});
+}
+
 Test(requests, cancelledRequestsLeaveTheQueue)
 {
     AdmissionQueue queue;
@@ -330,6 +345,22 @@
     return static_cast<double>(count) * 1'000'000 / static_cast<double>(load.length);
 }
 
+// The same kind of load in arrival order without any refusal.
+double fifoGoodput(const Load &load, double rate, std::int64_t window)
+{
+    Random random{11};
+    std::vector<std::int64_t> freeAt(load.slots, 0);
+    std::uint64_t inTime = 0;
+    for (std::int64_t now = 0; now < load.length; now += 1 + exponential(random, 1'000'000 / rate)) {
+        const auto slot = std::min_element(freeAt.begin(), freeAt.end());
+        const auto taken = static_cast<std::int64_t>(load.meanService / 2) + exponential(random, load.meanService / 2);
+        *slot = std::max(now, *slot) + taken;
+        const auto own = random.below(10) < 7 ? window : 3 * window;
+        inTime += *slot <= now + own ? 1 : 0;
+    }
+    return perSecond(inTime, load);
+}
+
 void goodputUnderOverload(const char *name, std::uint32_t slots, double meanService, std::int64_t window)
 {
     double peak = 0;
@@ -342,12 +373,14 @@
         const auto outcome = Bench{load}.play()["s"];
         const auto goodput = perSecond(outcome.inTime, load);
         peak = std::max(peak, goodput);
-        std::printf("admission %-10s %.0fx: %6.1f/s of %6.1f/s in time, %llu late, %llu refused on arrival, %llu later (%llu in the second "
+        std::printf("admission %-10s %.0fx: %6.1f/s of %6.1f/s in time (fifo %6.1f/s), %llu late, %llu refused on arrival, %llu later "
+                    "(%llu in the second "
                     "half of the window)\n",
                     name,
                     times,
                     goodput,
                     capacity,
+                    fifoGoodput(load, capacity * times, window),
                     static_cast<unsigned long long>(outcome.late),
                     static_cast<unsigned long long>(outcome.refusedOnArrival),
                     static_cast<unsigned long long>(outcome.expired),
--- a/tests/requests/test_attempt.cpp
+++ b/tests/requests/test_attempt.cpp
@@ -127,6 +127,20 @@
     cr_assert(attempt.sends() == 1);
 }
 
+Test(requests, aReplicasFindingIsNotFinal)
+{
+    RetryBudget budget;
+    WriteAttempt attempt{needUntil(1000), budget};
+    (void)attempt.start({termOf(3), true}, at(0));
+    (void)attempt.sendFailed(lost(), at(5));
+    auto onReplica = outcomeAt(termOf(3), Mark{termOf(3), 12});
+    onReplica.report.role = MemberRole::Replica;
+    cr_assert(is<AskOutcome>(attempt.outcome(onReplica, at(10))));
+    auto superseded = outcomeAt(termOf(3), Mark{termOf(3), 12});
+    superseded.report.adopted = termOf(4);
+    cr_assert(is<AskOutcome>(attempt.outcome(superseded, at(40))));
+}
+
 Test(requests, absenceUnderACoveredHigherTermIsTheProofThatAllowsAResend)
 {
     RetryBudget budget;
@@ -165,6 +179,23 @@
     cr_assert(answer.ran == Ran::No && answer.error->kind == ErrorKind::EndpointUnreachable && answer.error->retryAfter);
 }
 
+Test(requests, anUnsentWriteGoesToANewPrimaryWithoutABudget)
+{
+    RetryBudget budget{{0.1, 0}};
+    const LinkFailure unsent{LinkFault::Closed, true, "not sent"};
+    WriteAttempt attempt{needUntil(1000), budget};
+    (void)attempt.start({termOf(3), true}, at(0));
+    cr_assert(is<SendWrite>(attempt.primaryChanged({termOf(4), false}, at(1))));
+    const WriteStep atNew = SendWrite{termOf(4)};
+    cr_assert(attempt.sendFailed(unsent, at(2)) == atNew);
+    (void)attempt.primaryChanged({}, at(3));
+    cr_assert(is<WaitPrimary>(attempt.sendFailed(unsent, at(4))));
+    const WriteStep atNext = SendWrite{termOf(5)};
+    cr_assert(attempt.primaryChanged({termOf(5), false}, at(9)) == atNext);
+    const auto answer = answerOf(attempt.sendFailed(unsent, at(10)));
+    cr_assert(answer.ran == Ran::No);
+}
+
 Test(requests, aSupersededPrimaryRefusalWaitsForTheNextOne)
 {
     RetryBudget budget;
