--- a/src/app/ownership.h
+++ b/src/app/ownership.h
@@ -58,6 +58,12 @@
         std::vector<DuePlan> plans;
     };
 
+    /// An owner that was given up.
+    struct Retired {
+        std::shared_ptr<GroupOwner> owner;
+        TimePoint since;
+    };
+
     [[nodiscard]] std::shared_ptr<GroupOwner> makeOwner(const entry::FleetView &view,
                                                         const GroupName &name,
                                                         const DatabaseGroup &record,
