--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -38,8 +38,9 @@
 
 cardamomstep_library(groups base)
 cardamomstep_test(groups)
-cardamomstep_library(peer base peerwire groups configuration)
+cardamomstep_library(peer base peerwire groups configuration membership)
 cardamomstep_library(connections base)
+cardamomstep_test(connections)
 
 cardamomstep_library(sessions base)
 cardamomstep_test(sessions)
@@ -53,8 +54,21 @@
 cardamomstep_library(cli records settings http)
 cardamomstep_test(cli operators)
 cardamomstep_library(entry base json http records membership owner peer)
-cardamomstep_library(app entry logging metrics platform configuration)
+cardamomstep_library(status records)
+cardamomstep_test(status)
+cardamomstep_library(app entry logging metrics platform configuration membership operators cli status)
 
 add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
 target_link_libraries(cardamomstep PRIVATE app)
+
+cardamomstep_library(trace base groups)
+cardamomstep_test(trace)
+
+# Templates of these libraries use 0 for null pointers.
+set_source_files_properties(${CMAKE_SOURCE_DIR}/src/http/connection.cpp ${CMAKE_SOURCE_DIR}/src/http/server.cpp
+    PROPERTIES COMPILE_OPTIONS -Wno-zero-as-null-pointer-constant)
+# Micro benchmark; built on demand and not part of the verdict.
+add_executable(bench-decisions EXCLUDE_FROM_ALL ${CMAKE_SOURCE_DIR}/bench/decisions.cpp)
+target_compile_options(bench-decisions PRIVATE -Wall -Wextra -Wno-missing-field-initializers -Werror)
+target_link_libraries(bench-decisions PRIVATE sessions requests connections)
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -1,21 +1,26 @@
 // One proxy process: puts the slices together, starts and stops them.
 #include "app/proxy.h"
 
-#include "app/fleet.h"
+#include "app/configurationservice.h"
+#include "app/membershipservice.h"
+#include "app/operatorenvironment.h"
 #include "app/ownership.h"
-#include "app/storefollower.h"
+#include "app/periodic.h"
+#include "app/statuswriter.h"
 #include "app/taskpool.h"
 #include "entry/callerapi.h"
 #include "entry/dispatcher.h"
 #include "http/server.h"
 #include "logging/log.h"
 #include "metrics/metrics.h"
+#include "operators/api.h"
 #include "peer/client.h"
 #include "peer/server.h"
 #include "platform/storeclient.h"
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -24,9 +29,14 @@
 namespace {
 
 constexpr std::size_t backgroundThreads = 4;
+constexpr unsigned operatorThreads = 16;
 constexpr Milliseconds peerTimeout{200};
 constexpr Milliseconds drainPoll{10};
+/// A leaving proxy serves on until no statement has come for this long.
+constexpr Milliseconds quietTime{1'000};
 constexpr Milliseconds maintenancePeriod{100};
+/// Plans are looked at in every so many rounds of maintenance.
+constexpr std::uint64_t planRounds = 5;
 constexpr int hexadecimalDigits = 16;
 
 std::uint64_t drawSeed()
@@ -86,14 +96,24 @@
     [[nodiscard]] entry::CallerServices callerServices();
     [[nodiscard]] entry::Dispatcher::Sources dispatcherSources();
 
+    void addTask(TaskPool::Task task);
     void askPeers(const GroupName &group);
     void tellPeers(const GroupName &group, std::optional<Milliseconds> hold);
     [[nodiscard]] peer::Sighting sighted(const peer::Sighting &seen);
-    void onInstances(const std::vector<ListedInstance> &listed);
+    [[nodiscard]] peer::Sighting sightingOf(const GroupOwner &owner, const GroupName &group) const;
+    void watchPlan(const DuePlan &plan);
+    [[nodiscard]] bool isQuiet(const DuePlan &plan, const GroupOwner &owner);
+    [[nodiscard]] entry::FleetView view() const;
+    [[nodiscard]] bool isReady() const;
+    void onFleetChanged();
+    void onListed(const std::vector<ListedInstance> &listed);
     void finished(const Statement &statement, const Answer &answer, Microseconds took);
     [[nodiscard]] RequestId drawRequestId();
     void reconcile();
-    void maintain();
+    [[nodiscard]] Milliseconds maintain();
+    void beginLeaving();
+    void serveUntilQuiet(TimePoint until);
+    [[nodiscard]] std::string metricsPage();
 
     Settings settings;
     std::uint64_t seed = drawSeed();
@@ -104,18 +124,26 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> draining{false};
     std::atomic<std::uint64_t> nextRequest{1};
-    TaskPool tasks{backgroundThreads};
-    Fleet fleet;
-    Ownership ownership;
     StoreClient store;
+    ConfigurationService configuration;
+    MembershipService membership;
+    Ownership ownership;
+    FleetEnvironment environment;
+    RecordWriter records;
+    StatusWriter status;
+    operators::OperatorApi<RecordWriter, FleetEnvironment> operatorApi;
     entry::Dispatcher dispatcher;
     entry::CallerApi callers;
     std::atomic<std::uint32_t> forwardedInFlight{0};
     // Started last and stopped first.
     std::unique_ptr<peer::Server> peerServer;
     std::unique_ptr<http::Server> callerServer;
-    std::unique_ptr<StoreFollower> follower;
-    std::thread maintenance;
+    std::unique_ptr<http::Server> operatorServer;
+    std::unique_ptr<TaskPool> tasks;
+    std::unique_ptr<Periodic> maintenance;
+    // Used by the maintenance thread only.
+    std::uint64_t maintenanceRound = 0;
+    std::map<RecordName, std::pair<std::uint64_t, PlanProgress>> planProgressTold;
 };
 
 Proxy::Impl::Impl(const Settings &given)
@@ -123,9 +151,15 @@
     , self(selfOf(given))
     , transactions(given.instance, seed)
     , peers(credentialsOf(given.peers))
-    , fleet([this] { tasks.add([this] { reconcile(); }); })
-    , ownership(settings, self, groupEvents(), transactions, seed)
     , store(storeOptionsOf(given, seed))
+    , configuration(self, store, peers, seed, [this] { onFleetChanged(); })
+    , membership(
+          settings, store, peers, seed, [this] { onFleetChanged(); }, [this](const auto &listed) { onListed(listed); })
+    , ownership(settings, self, groupEvents(), transactions, seed)
+    , environment(self.name, configuration, membership)
+    , records(store, configuration, seed)
+    , status(store, self.name, seed)
+    , operatorApi(records, environment, {.token = given.operators.token})
     , dispatcher(self, dispatcherSources(), peers, transactions)
     , callers(callerServices(), {.tokenBytes = given.limits.tokenBytes, .maxWindow = given.limits.maxWindow}, given.limits.inFlight)
 {
@@ -138,6 +172,7 @@
 
 Result<Success> Proxy::Impl::listen()
 {
+    tasks = std::make_unique<TaskPool>(backgroundThreads);
     auto peerStarted = peer::Server::start(settings.peers.listen, credentialsOf(settings.peers), peerHandlers());
     if (!peerStarted) {
         return peerStarted.error();
@@ -154,9 +189,19 @@
         return callersStarted.error();
     }
     callerServer = std::move(*callersStarted);
-    follower = std::make_unique<StoreFollower>(
-        store, fleet, [this](const std::vector<ListedInstance> &listed) { onInstances(listed); }, seed);
-    maintenance = std::thread([this] { maintain(); });
+    http::ServerOptions operatorOptions;
+    operatorOptions.listen = settings.operators.listen;
+    operatorOptions.maxThreads = operatorThreads;
+    auto operatorsStarted =
+        http::Server::start(operatorOptions, [this](const http::Request &request) { return operatorApi.handle(request); });
+    if (!operatorsStarted) {
+        return operatorsStarted.error();
+    }
+    operatorServer = std::move(*operatorsStarted);
+    configuration.start();
+    membership.start();
+    status.start();
+    maintenance = std::make_unique<Periodic>([this] { return maintain(); });
     return Success{};
 }
 
@@ -165,12 +210,14 @@
     if (stopping.exchange(true)) {
         return;
     }
-    follower.reset();
-    if (maintenance.joinable()) {
-        maintenance.join();
-    }
+    maintenance.reset();
+    status.stop();
+    operatorServer.reset();
     callerServer.reset();
     peerServer.reset();
+    membership.stop();
+    configuration.stop();
+    tasks.reset();
     ownership.clear();
 }
 
@@ -180,6 +227,9 @@
 {
     GroupEvents events;
     events.primaryChanged = [this](const GroupName &group, const PrimaryChanged &change) {
+        if (change.reason != PromotionReason::Observed) {
+            status.onPromotion(group, change.previous, change.member, change.term, toText(change.reason));
+        }
         metrics.count("primary_changes_total{reason=\"" + std::string(toText(change.reason)) + "\"}");
         logEvent(LogLevel::Info,
                  "primary-changed",
@@ -196,10 +246,10 @@
                  {{"group", group.text()}, {"member", note.member.text()}, {"term", toText(note.term)}, {"reason", toText(note.reason)}});
     };
     events.askPeers = [this](const GroupName &group) {
-        tasks.add([this, group] { askPeers(group); });
+        addTask([this, group] { askPeers(group); });
     };
     events.holdPeers = [this](const GroupName &group, Milliseconds span) {
-        tasks.add([this, group, span] { tellPeers(group, span); });
+        addTask([this, group, span] { tellPeers(group, span); });
     };
     return events;
 }
@@ -215,15 +265,14 @@
         metrics.observe("forwarded_ms{verb=\"" + std::string(nameOf(statement)) + "\"}", steadyNow() - arrived);
         return answer;
     };
-    handlers.ping = [](const peer::Ping & /*ping*/) {
-        return peer::Pong{true, {}};
+    handlers.ping = [this](const peer::Ping &ping) {
+        return membership.onPing(ping);
     };
-    handlers.push = [this](const peer::Objects &objects) {
-        (void)fleet.onDelta(objects.delta);
-        return peer::Digest{self.name, fleet.digest()};
+    handlers.snapshot = [this] {
+        return membership.snapshot();
     };
-    handlers.fetch = [this](const peer::Digest &digest) {
-        return peer::Objects{self.name, fleet.deltaFor(digest.digest)};
+    handlers.spread = [this](const SpreadMessage &message) {
+        return configuration.onRequest(message);
     };
     handlers.sight = [this](const peer::Sighting &seen) {
         return sighted(seen);
@@ -238,10 +287,10 @@
         return dispatcher.run(statement, deadline);
     };
     services.ready = [this] {
-        return fleet.view().ready;
+        return isReady();
     };
     services.metrics = [this] {
-        return metrics.page();
+        return metricsPage();
     };
     services.finished = [this](const Statement &statement, const Answer &answer, Microseconds took) {
         finished(statement, answer, took);
@@ -254,7 +303,7 @@
 
 entry::Dispatcher::Sources Proxy::Impl::dispatcherSources()
 {
-    return {[this] { return fleet.view(); },
+    return {[this] { return view(); },
             [this](const GroupName &group) {
                 return ownership.find(group);
             }};
@@ -305,8 +354,10 @@
         return;
     }
     for (const auto &other : ownership.otherOwners(group)) {
-        tasks.add([this, owner, group, other, hold] {
-            const auto result = peers.sight(other.address, {self.name, group, owner->sighting(), hold}, peerTimeout);
+        addTask([this, owner, group, other, hold] {
+            auto told = sightingOf(*owner, group);
+            told.hold = hold;
+            const auto result = peers.sight(other.address, told, peerTimeout);
             const auto *seen = std::get_if<peer::Sighting>(&result);
             if (seen != nullptr && !seen->from.empty()) {
                 owner->onPeerSighting(seen->from, seen->seen);
@@ -325,39 +376,168 @@
         owner->hold(*seen.hold);
     }
     owner->onPeerSighting(seen.from, seen.seen);
-    return {self.name, seen.group, owner->sighting(), std::nullopt};
+    return sightingOf(*owner, seen.group);
+}
+
+peer::Sighting Proxy::Impl::sightingOf(const GroupOwner &owner, const GroupName &group) const
+{
+    peer::Sighting sighting;
+    sighting.from = self.name;
+    sighting.group = group;
+    sighting.seen = owner.sighting();
+    sighting.busy = owner.busyMembers();
+    sighting.revision = configuration.revision();
+    return sighting;
+}
+
+// Stop plans
+
+void Proxy::Impl::watchPlan(const DuePlan &plan)
+{
+    const auto owner = ownership.find(plan.group);
+    if (!owner) {
+        return;
+    }
+    const auto primary = owner->snapshot().primary;
+    PlanSight sight;
+    sight.due = plan.due;
+    sight.leads = primary && primary->member == plan.member;
+    sight.quiet = plan.due && !sight.leads && isQuiet(plan, *owner);
+    const auto progress = planProgress(sight);
+    const auto known = planProgressTold.find(plan.plan);
+    const bool told = known != planProgressTold.end() && known->second == std::pair{plan.version, progress};
+    if (!told) {
+        planProgressTold[plan.plan] = {plan.version, progress};
+        status.onPlan(plan.plan, progress, planDetail(sight));
+        logEvent(LogLevel::Info, "plan-progress", {{"plan", plan.plan.text()}, {"detail", planDetail(sight)}});
+    }
+}
+
+bool Proxy::Impl::isQuiet(const DuePlan &plan, const GroupOwner &owner)
+{
+    const auto isBusy = [&plan](const std::vector<MemberName> &busy) {
+        return std::find(busy.begin(), busy.end(), plan.member) != busy.end();
+    };
+    if (isBusy(owner.busyMembers())) {
+        return false;
+    }
+    for (const auto &other : ownership.otherOwners(plan.group)) {
+        const auto result = peers.sight(other.address, sightingOf(owner, plan.group), peerTimeout);
+        const auto *seen = std::get_if<peer::Sighting>(&result);
+        const bool agrees = seen != nullptr && seen->revision.value >= plan.version && !isBusy(seen->busy);
+        if (!agrees) {
+            return false;
+        }
+    }
+    return true;
 }
 
 // The fleet
 
-void Proxy::Impl::onInstances(const std::vector<ListedInstance> &listed)
+void Proxy::Impl::addTask(TaskPool::Task task)
+{
+    if (!stopping && tasks) {
+        tasks->add(std::move(task));
+    }
+}
+
+entry::FleetView Proxy::Impl::view() const
 {
-    std::vector<LiveInstance> live;
+    const auto currency = configuration.currency();
+    const bool mayServe = currency == CurrencyState::Current || currency == CurrencyState::StoreSilent;
+    return {configuration.catalog(), membership.owners(), mayServe};
+}
+
+bool Proxy::Impl::isReady() const
+{
+    return view().ready && !membership.isLeaving();
+}
+
+void Proxy::Impl::onFleetChanged()
+{
+    addTask([this] { reconcile(); });
+}
+
+void Proxy::Impl::onListed(const std::vector<ListedInstance> &listed)
+{
+    std::vector<MemberName> leaving;
     for (const auto &instance : listed) {
-        if (instance.role == "proxy" && instance.state == ListedState::Live) {
-            live.push_back({InstanceName{instance.name}, instance.domain, instance.address});
+        if (instance.role == "endpoint" && instance.state == ListedState::Leaving) {
+            leaving.emplace_back(instance.name);
         }
     }
-    fleet.setInstances(std::move(live));
+    ownership.setListedLeaving(std::move(leaving));
 }
 
 void Proxy::Impl::reconcile()
 {
-    if (!stopping && !draining) {
-        ownership.reconcile(fleet.view());
+    if (stopping) {
+        return;
     }
+    const auto owners = membership.owners();
+    configuration.setInstances(owners, membership.listedDomains());
+    membership.setConfiguration(configuration.revision());
+    ownership.reconcile({configuration.catalog(), owners, true});
 }
 
-void Proxy::Impl::maintain()
+Milliseconds Proxy::Impl::maintain()
 {
-    while (!stopping) {
-        for (const auto &expired : transactions.expire()) {
-            if (const auto owner = ownership.find(expired.transaction.group)) {
-                owner->closeConnection(expired);
-            }
+    for (const auto &expired : transactions.expire()) {
+        if (const auto owner = ownership.find(expired.transaction.group)) {
+            owner->closeConnection(expired);
         }
-        std::this_thread::sleep_for(maintenancePeriod);
     }
+    configuration.setInstances(membership.owners(), membership.listedDomains());
+    membership.setConfiguration(configuration.revision());
+    if (++maintenanceRound % planRounds == 0) {
+        const auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+        if (instancePlanDue(*configuration.catalog(), self.name, now)) {
+            beginLeaving();
+        }
+        ownership.refresh();
+        for (const auto &plan : ownership.plansToWatch()) {
+            watchPlan(plan);
+        }
+    }
+    return maintenancePeriod;
+}
+
+// Stopping
+
+void Proxy::Impl::beginLeaving()
+{
+    if (draining.exchange(true)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "leaving", {});
+    callers.beginDraining();
+    membership.leave();
+}
+
+void Proxy::Impl::serveUntilQuiet(TimePoint until)
+{
+    while (steadyNow() < until && steadyNow() - callers.lastArrival() < quietTime) {
+        std::this_thread::sleep_for(drainPoll);
+    }
+}
+
+std::string Proxy::Impl::metricsPage()
+{
+    metrics.set("configuration_revision", static_cast<double>(configuration.revision().value));
+    metrics.set("open_transactions", static_cast<double>(transactions.size()));
+    metrics.set("callers_in_flight", callers.inFlight());
+    const auto counts = store.counts();
+    metrics.set("store_reads", static_cast<double>(counts.reads));
+    metrics.set("store_writes", static_cast<double>(counts.writes));
+    metrics.set("store_failures", static_cast<double>(counts.failures));
+    for (const auto &owner : ownership.all()) {
+        const auto snapshot = owner->snapshot();
+        const auto label = "{group=\"" + snapshot.group.text() + "\"}";
+        metrics.set("group_waiting" + label, snapshot.waiting);
+        metrics.set("group_running" + label, snapshot.running);
+        metrics.set("group_connections" + label, snapshot.openConnections);
+    }
+    return metrics.page();
 }
 
 // Proxy
@@ -382,9 +562,10 @@
 
 bool Proxy::drain()
 {
-    impl_->draining = true;
-    impl_->callers.beginDraining();
+    impl_->beginLeaving();
     const auto until = steadyNow() + impl_->settings.drain;
+    impl_->serveUntilQuiet(until);
+    impl_->callers.beginRefusing();
     const auto busy = [this] {
         return impl_->callers.inFlight() + impl_->forwardedInFlight + impl_->transactions.size() > 0;
     };
