--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -72,3 +72,7 @@
 add_executable(bench-decisions EXCLUDE_FROM_ALL ${CMAKE_SOURCE_DIR}/bench/decisions.cpp)
 target_compile_options(bench-decisions PRIVATE -Wall -Wextra -Wno-missing-field-initializers -Werror)
 target_link_libraries(bench-decisions PRIVATE sessions requests connections)
+
+add_executable(bench-load ${CMAKE_SOURCE_DIR}/bench/load.cpp)
+target_compile_options(bench-load PRIVATE -Wall -Wextra -Wno-missing-field-initializers -Werror)
+target_link_libraries(bench-load PRIVATE http)
