--- a/src/groups/monitorneed.cpp
+++ b/src/groups/monitorneed.cpp
@@ -85,7 +85,8 @@
 std::optional<PromotionReason> GroupMonitor::needWithPrimary(TimePoint now)
 {
     const auto &watch = *find(primary_->member);
-    if (watch.gone() && !heldBack(primary_->term, watch.refusedAt())) {
+    // Signs of life that others had before the refusal may still arrive within a round trip.
+    if (watch.gone() && !heldBack(primary_->term, watch.refusedAt() + policy_.roundTripAllowance)) {
         return PromotionReason::PrimaryGone;
     }
     if (silent(watch, now)) {
@@ -140,8 +141,8 @@
 Microseconds GroupMonitor::replicationBound() const noexcept
 {
     constexpr unsigned largestShift = 16;
-    const auto doubled = policy_.replicationBound * (1U << std::min(stalledPromotions_, largestShift));
-    return std::min(doubled, policy_.replicationBoundLimit);
+    const auto doubled = policy_.stallBound() * (1U << std::min(stalledPromotions_, largestShift));
+    return std::min(doubled, std::max(policy_.replicationBoundLimit, policy_.stallBound()));
 }
 
 Microseconds GroupMonitor::rankDelay()
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -78,10 +78,10 @@
     core_->primaryWaiters.signalAll();
 }
 
-void GroupOwner::requestSwitchover(const MemberName &member)
+void GroupOwner::setLeaving(const std::vector<MemberName> &leaving)
 {
     const std::lock_guard lock(core_->mutex);
-    core_->perform(core_->monitor.requestSwitchover(member, steadyNow()));
+    core_->setLeaving(leaving);
 }
 
 void GroupOwner::closeConnection(const Transactions::Use &use)
@@ -98,6 +98,18 @@
     return core_->monitor.sighting(steadyNow());
 }
 
+std::vector<MemberName> GroupOwner::busyMembers() const
+{
+    const std::lock_guard lock(core_->mutex);
+    std::vector<MemberName> busy;
+    for (const auto &[name, member] : core_->members) {
+        if (member->links.inUse() > 0) {
+            busy.push_back(name);
+        }
+    }
+    return busy;
+}
+
 GroupSnapshot GroupOwner::snapshot() const
 {
     const std::lock_guard lock(core_->mutex);
--- a/src/sessions/readrouter.cpp
+++ b/src/sessions/readrouter.cpp
@@ -62,11 +62,11 @@
     primary_ = maxMembers;
 }
 
-void ReadRouter::confirm(TimePoint began, const Mark &primaryMark)
+void ReadRouter::confirm(TimePoint began, const Mark &bound)
 {
-    history_.confirm(began, primaryMark);
-    learnPrimaryMark(primaryMark, began);
-    highestSeen_ = std::max(highestSeen_, primaryMark);
+    history_.confirm(began, bound);
+    learnPrimaryMark(bound, began);
+    highestSeen_ = std::max(highestSeen_, bound);
 }
 
 void ReadRouter::setSuspect(const MemberName &member, bool suspect)
@@ -147,6 +147,28 @@
     }
 }
 
+std::optional<TimePoint> ReadRouter::coverageExpected(const Mark &mark, TimePoint now) const
+{
+    std::vector<TimePoint> expected;
+    for (std::size_t index = 0; index < members_.size(); ++index) {
+        const auto &member = members_[index];
+        if (index == primary_ || !member.known || member.suspect) {
+            continue;
+        }
+        const bool reached = member.mark >= mark;
+        expected.push_back(reached ? now : expectedAt(member, mark, now) + member.roundTrip / 2);
+    }
+    const auto replicasNeeded = members_.size() / 2;
+    if (replicasNeeded == 0) {
+        return now;
+    }
+    if (expected.size() < replicasNeeded) {
+        return std::nullopt;
+    }
+    std::sort(expected.begin(), expected.end());
+    return std::max(now, expected[replicasNeeded - 1]);
+}
+
 ReadRouter::Member *ReadRouter::find(const MemberName &name) noexcept
 {
     const auto index = indexOf(name);
@@ -173,7 +195,7 @@
     if (need.token) {
         const auto standing = checkAgainst(*need.token, highestSeen_, confirmed);
         if (standing == TokenStanding::Unproven) {
-            return ConfirmPrimary{};
+            return CollectReports{};
         }
         if (standing == TokenStanding::Ahead) {
             return GiveUpRead{Error{ErrorKind::TokenAhead, "the session token names " + toText(*need.token) + ", beyond the group's log"}};
@@ -182,7 +204,7 @@
     const auto age = std::min(need.acceptedAge.value_or(Milliseconds{0}), longestAge);
     const auto covering = history_.markCovering(need.arrived - age);
     if (!covering) {
-        return ConfirmPrimary{};
+        return CollectReports{};
     }
     plan.required_ = std::max(*covering, need.token.value_or(Mark{}));
     return std::nullopt;
--- a/tests/groups/cluster.cpp
+++ b/tests/groups/cluster.cpp
@@ -12,6 +12,18 @@
 constexpr Milliseconds pullRetry{20};
 constexpr Milliseconds pullWait{100};
 constexpr Milliseconds gossipInterval{100};
+/// Entries in one reply to a pull.
+constexpr std::size_t pullEntries = 16;
+
+/// The log of a member that has \a own after it took one batch from \a source: the common part and what follows it.
+std::vector<Entry> caughtUp(const std::vector<Entry> &own, const std::vector<Entry> &source)
+{
+    const auto shorter = std::min(own.size(), source.size());
+    const auto differs = std::mismatch(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(shorter), source.begin());
+    const auto common = static_cast<std::size_t>(differs.first - own.begin());
+    const auto length = std::min(source.size(), common + pullEntries);
+    return {source.begin(), source.begin() + static_cast<std::ptrdiff_t>(length)};
+}
 
 } // namespace
 
@@ -140,13 +152,9 @@
     const auto back = [this, proxy, member](std::function<void()> action) {
         send(node(member), proxy, std::move(action));
     };
-    const auto arrive = [this, member, serve, finish, fail, back] {
+    const auto connected = [this, member, serve, finish, fail, back] {
         auto &target = members[member];
-        if (target.hostDown) {
-            return;
-        }
         if (!target.up) {
-            back([fail] { fail(LinkFault::Refused); });
             return;
         }
         target.breakers.push_back([fail, back] { back([fail] { fail(LinkFault::Closed); }); });
@@ -161,10 +169,25 @@
             });
         });
     };
-    // A new connection costs one more round trip.
     const bool fresh = proxies[proxy].freshConnections.erase(member) > 0;
+    const auto arrive = [this, member, fail, back, connected, fresh] {
+        auto &target = members[member];
+        if (target.hostDown) {
+            return;
+        }
+        if (!target.up) {
+            back([fail] { fail(LinkFault::Refused); });
+            return;
+        }
+        if (fresh) {
+            // A new connection costs one more round trip.
+            at(now + 2 * delay(), connected);
+        } else {
+            connected();
+        }
+    };
     if (passes(proxy, node(member))) {
-        at(now + delay() * (fresh ? 3 : 1), arrive);
+        at(now + delay(), arrive);
     }
 }
 
@@ -238,11 +261,11 @@
         const auto until = held ? hold->until : now;
         for (int peer = 0; peer < static_cast<int>(proxies.size()); ++peer) {
             if (peer == proxy) {
-                proxies[peer].writesHeld = held;
+                proxies[peer].heldUntil = until;
                 continue;
             }
             send(proxy, peer, [this, peer, held, until] {
-                proxies[peer].writesHeld = held;
+                proxies[peer].heldUntil = until;
                 if (held && proxies[peer].alive) {
                     perform(peer, proxies[peer].monitor->onPeerHold(until, now));
                 }
@@ -379,10 +402,10 @@
         if (!leader.up || leader.role != MemberRole::Primary || leader.adopted != term) {
             return;
         }
-        const auto answer = [this, member, source, term, apply] {
+        const auto answer = [this, member, source, term, apply, known] {
             const auto &from = members[source];
             if (from.up && from.role == MemberRole::Primary && from.adopted == term && passes(node(source), node(member))) {
-                at(now + delay() + members[member].lag, [apply, log = from.log] { apply(log); });
+                at(now + delay() + members[member].lag, [apply, log = caughtUp(known, from.log)] { apply(log); });
             }
         };
         if (leader.log != known) {
@@ -424,7 +447,7 @@
     }
     at(now + writeInterval, [this, proxy] { write(proxy); });
     const auto view = proxies[proxy].monitor->primary();
-    if (!view || proxies[proxy].writesHeld) {
+    if (!view || now < proxies[proxy].heldUntil) {
         return;
     }
     const int member = indexOf(view->member);
--- a/tests/groups/test_monitor.cpp
+++ b/tests/groups/test_monitor.cpp
@@ -53,6 +53,18 @@
     cr_assert_eq(cluster.promotions(), 1);
 }
 
+Test(groups, singleMemberLeadsAndLeadsAgain)
+{
+    ClusterOptions options;
+    options.members = 1;
+    Cluster cluster{options};
+    start(cluster);
+    cluster.kill(0);
+    cluster.run(Milliseconds{500});
+    expectWhole(cluster);
+    cr_assert_eq(cluster.promotions(), 2);
+}
+
 Test(groups, killedPrimaryIsReplaced)
 {
     for (const bool host : {false, true}) {
@@ -122,6 +134,7 @@
         ClusterOptions options;
         options.seed = seed;
         options.writes = seed % 2 == 0;
+        options.policy.silenceBound = seed % 5 == 0 ? Milliseconds{1000} : Milliseconds{200};
         options.delay = seed % 3 == 0 ? Microseconds{3000} : Microseconds{3500};
         Cluster cluster{options};
         start(cluster);
@@ -302,6 +315,22 @@
     cr_assert_eq(cluster.promotions(), 2);
 }
 
+Test(groups, restartedReplicaIsToldAgainWhomToFollow)
+{
+    Cluster cluster;
+    start(cluster);
+    const int replica = replicaOf(cluster);
+    for (int time = 0; time < 2; ++time) {
+        cluster.kill(replica);
+        cluster.run(Milliseconds{300});
+        cluster.restart(replica);
+        cluster.run(Milliseconds{1500});
+        cr_assert(cluster.members[replica].mark().position + 20 > cluster.members[cluster.primary()].mark().position);
+    }
+    expectWhole(cluster);
+    cr_assert_eq(cluster.promotions(), 1);
+}
+
 Test(groups, restartedPrimaryThatCameBackAsReplicaIsReplaced)
 {
     Cluster cluster;
@@ -341,7 +370,7 @@
         cluster.run(Milliseconds{300});
         cr_assert_neq(cluster.primary(), old);
         cr_assert_eq(cluster.count(NoteKind::SwitchoverFinished), 1);
-        cr_assert(!cluster.proxies[0].writesHeld);
+        cr_assert(cluster.proxies[0].heldUntil <= cluster.now);
         expectWhole(cluster);
         cr_assert_eq(cluster.promotions(), 2);
     }
@@ -375,7 +404,7 @@
     cluster.members[old].leaving = true;
     cr_assert(cluster.runUntilConfirmed(before.number, Milliseconds{1000}));
     cluster.run(Milliseconds{100});
-    cr_assert(!cluster.proxies[0].writesHeld);
+    cr_assert(cluster.proxies[0].heldUntil <= cluster.now);
     cluster.beforeAction = nullptr;
     cluster.members[old].leaving = false;
     expectWhole(cluster);
@@ -397,7 +426,7 @@
     cluster.run(Milliseconds{2500});
     cr_assert_eq(cluster.primary(), old);
     cr_assert(cluster.count(NoteKind::SwitchoverAbandoned) > 0);
-    cr_assert(!cluster.proxies[0].writesHeld);
+    cr_assert(cluster.proxies[0].heldUntil <= cluster.now);
     cluster.members[old].leaving = false;
     expectWhole(cluster);
 }
