Tell when everything up to a revision is in force, also without new objects

A change that came by a push first and by the watch later raised the complete revision without any action, so whoever waits for the revision by the actions waited in vain.

--- a/src/configuration/spread.cpp
+++ b/src/configuration/spread.cpp
@@ -296,11 +296,14 @@
                                   TimePoint now,
                                   SpreadActions &actions)
 {
-    if (applied.empty()) {
-        return;
+    const auto complete = state_.digest().complete;
+    const bool isNews = !applied.empty();
+    if (isNews || complete > before.complete) {
+        actions.push_back(ObjectsChanged{std::move(applied), complete});
+    }
+    if (isNews) {
+        push(before, now, actions);
     }
-    actions.push_back(ObjectsChanged{std::move(applied)});
-    push(before, now, actions);
 }
 
 void ConfigurationSpread::push(const ConfigurationDigest &before, TimePoint now, SpreadActions &actions)
--- a/src/configuration/spread.h
+++ b/src/configuration/spread.h
@@ -53,7 +53,10 @@
 
 /// These changes are in force here from now on.
 struct ObjectsChanged {
+    /// Empty when only `complete` has risen, as after a change that came by a push first and by the watch later.
     std::vector<StoredObject> objects;
+    /// Everything up to here is in force.
+    Revision complete;
 };
 
 using SpreadAction = std::variant<SendExchange, ObjectsChanged>;
--- a/tests/configuration/test_spread.cpp
+++ b/tests/configuration/test_spread.cpp
@@ -126,6 +126,27 @@
     cr_assert(fleet.reverted == 0);
 }
 
+Test(spread, revisionThatRisesWithoutNewObjectsIsTold)
+{
+    SpreadOptions options;
+    options.self = FleetModel::nameOf(0);
+    options.domain = FailureDomain{"a"};
+    ConfigurationSpread spread{options};
+    const auto live = std::make_shared<InstanceSet>(std::vector<LiveInstance>{{options.self, options.domain, Address{"10.0.0.1:1"}}});
+    spread.setInstances(live, 1);
+    const TimePoint now{Seconds{1}};
+    (void)spread.onListing({Revision{5}, {}}, now, now);
+    const StoredObject change{ObjectKind{"group"}, ObjectName{"g"}, Revision{6}, "{}", false};
+    const auto accepted = spread.onAccepted(change, now);
+    cr_assert(accepted.size() == 1);
+    cr_assert(std::get<ObjectsChanged>(accepted[0]).complete == Revision{5});
+    const auto watched = spread.onChanges({Revision{5}, Revision{6}, {change}, false}, now, now);
+    cr_assert(watched.size() == 1);
+    cr_assert(std::get<ObjectsChanged>(watched[0]).objects.empty());
+    cr_assert(std::get<ObjectsChanged>(watched[0]).complete == Revision{6});
+    cr_assert(spread.onChanges({Revision{6}, Revision{6}, {}, false}, now, now).empty());
+}
+
 // A process that was paused has requests in its buffers that it reads only now: they must not make its configuration look current.
 Test(spread, pausedProxyIsNotCurrentBeforeItHasAskedAgain)
 {
