Owner: an outcome question is asked once the start of its term is covered

Cause: when the start of the term was confirmed while a write waited to ask for its outcome, the attempt put the question off to now, the flow took that for another step, looked again, and went round without end, holding the group's lock until the window ended. Ruled out: detection and promotion; the logs show the new primary confirmed 13 ms after the kill. Change: the flow asks as long as the question is for the same term.

--- a/src/owner/impl/writeflow.cpp
+++ b/src/owner/impl/writeflow.cpp
@@ -135,8 +135,10 @@
         const WaitList::Entry entry(core_.primaryWaiters, waiter);
         waiter.wait(lock_, std::min(ask.notBefore, deadline_));
     }
+    // The news may be only that the start of the same term is covered: then the question is asked now, not put off again.
     auto current = attempt.primaryChanged(core_.leader(), steadyNow());
-    if (!(current == WriteStep{ask})) {
+    const auto *stillAsked = std::get_if<AskOutcome>(&current);
+    if (stillAsked == nullptr || stillAsked->term != ask.term) {
         return current;
     }
     const auto view = core_.monitor.primary();
