--- a/tests/configuration/fleetmodel.h
+++ b/tests/configuration/fleetmodel.h
@@ -125,6 +125,11 @@
             std::count_if(nodes_.begin(), nodes_.end(), [&](const auto &node) { return node->currency(now_) == state; }));
     }
 
+    bool reachesStore(std::size_t index) const
+    {
+        return !storeDown && !storeCut_[index] && !alone_[index] && !cutRegion_[regionOf(index)];
+    }
+
     void cutRegion(std::size_t region, bool cut)
     {
         cutRegion_[region] = cut;
@@ -221,11 +226,6 @@
         at(now_ + Milliseconds{250}, [this, index, epoch] { tickLoop(index, epoch); });
     }
 
-    bool hearsStore(std::size_t index) const
-    {
-        return !storeDown && !storeCut_[index] && !alone_[index] && !cutRegion_[regionOf(index)];
-    }
-
     void storeLoop(std::size_t index, std::uint64_t epoch)
     {
         if (!alive(index, epoch)) {
@@ -239,7 +239,7 @@
         ++storeCallsBySecond[std::chrono::duration_cast<Seconds>(now_.time_since_epoch()).count()];
         bytes_[index] += storeCallBytes;
         const auto calledAt = now_;
-        if (!hearsStore(index)) {
+        if (!reachesStore(index)) {
             at(now_ + Milliseconds{1000}, [this, index, epoch] {
                 if (alive(index, epoch)) {
                     nodes_[index]->onStoreFailure(now_);
@@ -274,7 +274,7 @@
             return;
         }
         waiting->done = true;
-        const bool answered = hearsStore(waiting->node);
+        const bool answered = reachesStore(waiting->node);
         at(now_ + storeDelay, [this, waiting, answered, changes = store.watch(waiting->after)] {
             if (!alive(waiting->node, waiting->epoch)) {
                 return;
@@ -294,7 +294,7 @@
         std::vector<std::shared_ptr<Waiting>> waiting;
         waiting.swap(watches_);
         for (const auto &watch : waiting) {
-            if (hearsStore(watch->node)) {
+            if (reachesStore(watch->node)) {
                 answerWatch(watch);
             } else if (!watch->done) {
                 watches_.push_back(watch);
--- a/tests/configuration/test_spread.cpp
+++ b/tests/configuration/test_spread.cpp
@@ -2,6 +2,9 @@
 #include "fleetmodel.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
 
 using namespace cardamomstep;
 using test::FleetModel;
@@ -147,6 +150,101 @@
     cr_assert(spread.onChanges({Revision{6}, Revision{6}, {}, false}, now, now).empty());
 }
 
+namespace {
+
+struct AcceptedChange {
+    std::size_t by = 0;
+    std::string name;
+    Revision revision;
+    /// When a majority of the failure domains was known to hold it.
+    std::optional<TimePoint> heldByMajorityAt;
+};
+
+/// Turns one fault on or off.
+void randomFault(FleetModel &fleet)
+{
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+        fleet.storeDown = !fleet.storeDown;
+        break;
+    case 1:
+        fleet.cutFromStore(*rc::gen::inRange<std::size_t>(0, fleet.size()), *rc::gen::arbitrary<bool>());
+        break;
+    default:
+        fleet.cutRegion(*rc::gen::inRange<std::size_t>(0, 3), *rc::gen::arbitrary<bool>());
+        break;
+    }
+}
+
+bool serves(CurrencyState state)
+{
+    return state == CurrencyState::Current || state == CurrencyState::StoreSilent;
+}
+
+/// Asserts that whoever serves has all changes that a majority of failure domains held a bound and a little ago.
+void assertInForceWhereServed(FleetModel &fleet, std::vector<AcceptedChange> &changes)
+{
+    constexpr Seconds withinDomain{2};
+    for (auto &change : changes) {
+        if (!change.heldByMajorityAt && fleet.node(change.by).domainsHolding(change.revision) >= 2) {
+            change.heldByMajorityAt = fleet.now();
+        }
+        if (!change.heldByMajorityAt || fleet.now() - *change.heldByMajorityAt < CurrencyOptions{}.bound + withinDomain) {
+            continue;
+        }
+        const ObjectKey key{ObjectKind{"group"}, ObjectName{change.name}};
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            const auto *held = fleet.node(node).state().find(key);
+            const bool has = held != nullptr && held->version >= change.revision;
+            RC_ASSERT(has || !serves(fleet.node(node).currency(fleet.now())));
+        }
+    }
+}
+
+} // namespace
+
+// Failure domains are cut off from each other and from the store, and the store goes down, in any order.
+Test(spread, whoeverServesHasWhatAMajorityHeld)
+{
+    setenv("RC_PARAMS", "max_success=300", 0);
+    const bool holds = rc::check("whoever serves has what a majority held", [] {
+        auto shape = smallFleet;
+        shape.regions = 3;
+        shape.valueBytes = 1;
+        shape.seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        FleetModel fleet{shape};
+        fleet.run(Seconds{15});
+        std::vector<AcceptedChange> changes;
+        const auto steps = *rc::gen::inRange(0, 40);
+        for (int step = 0; step < steps; ++step) {
+            const auto by = *rc::gen::inRange<std::size_t>(0, fleet.size());
+            if (fleet.node(by).mayAccept(fleet.now()) && fleet.reachesStore(by)) {
+                const auto name = "c" + std::to_string(step % 7);
+                changes.push_back({by, name, fleet.accept(by, name), std::nullopt});
+            }
+            randomFault(fleet);
+            const auto quarters = *rc::gen::inRange(1, 24);
+            for (int quarter = 0; quarter < quarters; ++quarter) {
+                fleet.run(Milliseconds{250});
+                assertInForceWhereServed(fleet, changes);
+            }
+        }
+        fleet.storeDown = false;
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            fleet.cutFromStore(node, false);
+            fleet.cutRegion(node % 3, false);
+        }
+        fleet.run(Seconds{15});
+        RC_ASSERT(fleet.countIn(CurrencyState::Current) == fleet.size());
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            RC_ASSERT(fleet.node(node).state().digest().sameContent(fleet.node(0).state().digest()));
+            RC_ASSERT(fleet.node(node).divergences() == 0U);
+        }
+        RC_ASSERT(fleet.reverted == 0U);
+    });
+    cr_assert(holds);
+}
+
 // A process that was paused has requests in its buffers that it reads only now: they must not make its configuration look current.
 Test(spread, pausedProxyIsNotCurrentBeforeItHasAskedAgain)
 {
