Groups: no switchover after a leave was taken back, no promotion for returning replicas

Found by one of 2424 random cases and by the tests written for it: - A primary's leaving report was remembered as a request, so a primary that no longer left was switched away from seconds later. Only explicit requests are remembered now, an empty name withdraws them, and a hold ends at once. - Replicas that came back together after a while counted as standing still for all that time, and their healthy primary was replaced as stalled. Standing still now counts from the first answer after a failure. - A slow replica was told to follow every 250 ms, which can cost it the pull under way.

--- a/src/groups/impl/memberwatch.cpp
+++ b/src/groups/impl/memberwatch.cpp
@@ -18,6 +18,7 @@
     , stateAt_(now)
     , heardAt_(now)
     , movedAt_(now)
+    , backSince_(now)
     , refusedAt_(now)
     , reportAllowedAt_(now)
     , orderAllowedAt_(now)
@@ -65,7 +66,7 @@
     if (!behindSince_) {
         return std::nullopt;
     }
-    return std::max(*behindSince_, movedAt_);
+    return std::max({*behindSince_, movedAt_, backSince_});
 }
 
 void MemberWatch::onState(const MemberReport &report, TimePoint sentAt, TimePoint now)
@@ -95,8 +96,21 @@
     return !stepsBack && report.log >= report_->log;
 }
 
+void MemberWatch::told(const Term &term) noexcept
+{
+    toldTerm_ = term;
+}
+
+bool MemberWatch::follows(const Term &term) const noexcept
+{
+    return toldTerm_ == term;
+}
+
 void MemberWatch::onAlive(TimePoint now) noexcept
 {
+    if (failedSinceHeard_) {
+        backSince_ = now;
+    }
     heardAt_ = now;
     everHeard_ = true;
     refusals_ = 0;
@@ -106,6 +120,8 @@
 TimePoint MemberWatch::onFailure(const LinkFailure &failure, const GroupPolicy &policy, TimePoint now) noexcept
 {
     failedSinceHeard_ = true;
+    // The process may have ended; a new one follows nobody.
+    toldTerm_.reset();
     if (failure.fault == LinkFault::TimedOut) {
         return now;
     }
--- a/src/groups/impl/memberwatch.h
+++ b/src/groups/impl/memberwatch.h
@@ -34,7 +34,7 @@
 
     /// The primary's log ends at \a primaryLog: notes since when this member is behind it.
     void onPrimaryLog(const Mark &primaryLog, TimePoint now) noexcept;
-    /// Since when this member has been behind its primary without moving; none when it is not behind.
+    /// Since when this member has been behind its primary without moving, although it answers; none when it is not behind.
     [[nodiscard]] std::optional<TimePoint> stuckSince() const noexcept;
 
     /// Takes in a report asked for at \a sentAt; one that is older than the known state changes nothing.
@@ -70,6 +70,11 @@
     void orderSent(OutstandingOrder order) noexcept;
     void orderEnded(TimePoint nextAt) noexcept;
 
+    /// The member accepted an order to follow the primary of \a term.
+    void told(const Term &term) noexcept;
+    /// True when it follows the primary of \a term as far as known: it was told, and no exchange failed since.
+    [[nodiscard]] bool follows(const Term &term) const noexcept;
+
     /// When it may be told again to follow.
     TimePoint followAt;
 
@@ -84,6 +89,9 @@
     TimePoint movedAt_;
     bool everHeard_ = false;
     std::optional<TimePoint> behindSince_;
+    /// First sign of life after the last failure.
+    TimePoint backSince_;
+    std::optional<Term> toldTerm_;
 
     /// Refusals since the last sign of life, at most 2 are counted.
     unsigned refusals_ = 0;
--- a/src/groups/monitor.cpp
+++ b/src/groups/monitor.cpp
@@ -78,6 +78,9 @@
         if (watch->order() == OutstandingOrder{kind, term}) {
             watch->orderEnded(reply.accepted ? now : now + policy_.orderRetry);
         }
+        if (kind == OrderKind::Follow && reply.accepted) {
+            watch->told(term);
+        }
         learn(*watch, reply.report, sentAt, now);
     }
     return settle(now);
@@ -147,11 +150,8 @@
 GroupActions GroupMonitor::requestSwitchover(const MemberName &leaving, TimePoint now)
 {
     begin(now);
-    if (leaving.empty()) {
-        leaving_ = leaving;
-    } else if (find(leaving) != nullptr && leaving_ != leaving) {
+    if (leaving.empty() || find(leaving) != nullptr) {
         leaving_ = leaving;
-        switchoverAllowedAt_ = now + rank_ * policy_.holdLimit;
     }
     return settle(now);
 }
--- a/src/groups/monitor.h
+++ b/src/groups/monitor.h
@@ -158,6 +158,7 @@
     [[nodiscard]] bool mustFollow(const MemberWatch &watch, TimePoint now) const;
     void sendReports(TimePoint now);
     void advanceSwitchover(TimePoint now);
+    [[nodiscard]] bool primaryLeaving() const;
     void startSwitchover(TimePoint now);
     void endSwitchover(NoteKind kind, TimePoint now);
     void planWake(TimePoint now);
@@ -202,6 +203,8 @@
     unsigned abandonedSwitchovers_ = 0;
     /// A member that was asked to leave; empty when none was.
     MemberName leaving_;
+    /// True when the primary was leaving at the last look, by its own report or by request.
+    bool primaryLeaves_ = false;
 
     TimePoint wake_;
 };
--- a/src/groups/monitorupkeep.cpp
+++ b/src/groups/monitorupkeep.cpp
@@ -23,7 +23,7 @@
 }
 
 // A replica that adopted the term says nothing on whom it follows: one without an entry of the term, or one that
-// stands still behind the primary, is told (again).
+// stands still behind the primary, is told. It is not told again for being slow.
 bool GroupMonitor::mustFollow(const MemberWatch &watch, TimePoint now) const
 {
     if (watch.name() == primary_->member || !reachable(watch, now)) {
@@ -34,7 +34,10 @@
         return report.adopted < primary_->term;
     }
     const auto since = watch.stuckSince();
-    return report.log.term != primary_->term || (since && now - *since >= policy_.followRetry);
+    if (watch.follows(primary_->term)) {
+        return since && now - *since >= policy_.followRecheck;
+    }
+    return report.log.term != primary_->term || (since && now - *since >= policy_.followDelay);
 }
 
 void GroupMonitor::sendReports(TimePoint now)
@@ -64,7 +67,7 @@
         }
         return;
     }
-    if (!leads || need_) {
+    if (!leads || need_ || !primaryLeaving()) {
         endSwitchover(NoteKind::SwitchoverAbandoned, now);
         return;
     }
@@ -83,21 +86,26 @@
     }
 }
 
+bool GroupMonitor::primaryLeaving() const
+{
+    return find(primary_->member)->report()->leaving || leaving_ == primary_->member;
+}
+
 void GroupMonitor::startSwitchover(TimePoint now)
 {
     if (!primary_ || promotion_ || need_) {
         return;
     }
-    const auto &report = *find(primary_->member)->report();
-    if (report.leaving && leaving_ != primary_->member) {
-        leaving_ = primary_->member;
-        switchoverAllowedAt_ = now + rank_ * policy_.holdLimit;
+    const bool leaving = primaryLeaving();
+    if (leaving && !primaryLeaves_) {
+        switchoverAllowedAt_ = std::max(switchoverAllowedAt_, now + rank_ * policy_.holdLimit);
     }
+    primaryLeaves_ = leaving;
     const auto mayLead = [&](const MemberWatch &watch) {
         return watch.name() != primary_->member && reachable(watch, now) && !watch.report()->leaving;
     };
     const bool possible = std::any_of(watches_.begin(), watches_.end(), mayLead);
-    if (leaving_ != primary_->member || now < switchoverAllowedAt_ || !possible || !primary_->confirmed) {
+    if (!leaving || now < switchoverAllowedAt_ || !possible || !primary_->confirmed) {
         return;
     }
     switchover_.start(primary_->member, policy_, now);
@@ -111,11 +119,12 @@
     switchover_.finish();
     if (kind == NoteKind::SwitchoverFinished) {
         leaving_ = MemberName{};
+        primaryLeaves_ = false;
         abandonedSwitchovers_ = 0;
         actions_.emplace_back(ReleaseWrites{});
         return;
     }
-    constexpr unsigned largestShift = 5;
+    constexpr unsigned largestShift = 3;
     switchoverAllowedAt_ = now + policy_.switchoverRetry * (1U << std::min(abandonedSwitchovers_, largestShift));
     ++abandonedSwitchovers_;
     actions_.emplace_back(ReleaseWrites{});
@@ -133,7 +142,8 @@
             wakeAt(watch.nextOrderAt(), now);
         }
         if (const auto since = watch.stuckSince()) {
-            wakeAt(*since + std::chrono::duration_cast<Microseconds>(replicationBound()), now);
+            wakeAt(*since + replicationBound(), now);
+            wakeAt(*since + policy_.followDelay, now);
         }
         wakeAt(watch.followAt, now);
     }
