Reads: a member that is no longer listed gets none, and its place is used again

A report of a removed member made it eligible again, and after 16 different members new ones were no longer taken in. Both were found in review; the new test fails without the change.

--- a/src/sessions/readrouter.cpp
+++ b/src/sessions/readrouter.cpp
@@ -28,17 +28,29 @@
 void ReadRouter::setMembers(const std::vector<MemberName> &members)
 {
     for (auto &member : members_) {
-        const bool listed = std::find(members.begin(), members.end(), member.name) != members.end();
-        member.leaving = member.leaving || !listed;
+        member.listed = std::find(members.begin(), members.end(), member.name) != members.end();
     }
     for (const auto &name : members) {
-        if (find(name) == nullptr && members_.size() < maxMembers) {
-            members_.emplace_back();
-            members_.back().name = name;
+        if (find(name) == nullptr) {
+            add(name);
         }
     }
 }
 
+void ReadRouter::add(const MemberName &name)
+{
+    const auto unlisted = std::find_if(members_.begin(), members_.end(), [](const Member &member) { return !member.listed; });
+    if (unlisted != members_.end()) {
+        const auto index = static_cast<std::size_t>(unlisted - members_.begin());
+        primary_ = index == primary_ ? maxMembers : primary_;
+        *unlisted = Member{};
+        unlisted->name = name;
+    } else if (members_.size() < maxMembers) {
+        members_.emplace_back();
+        members_.back().name = name;
+    }
+}
+
 void ReadRouter::report(const MemberReport &report, TimePoint now)
 {
     auto *member = find(report.member);
@@ -152,13 +164,14 @@
     std::vector<TimePoint> expected;
     for (std::size_t index = 0; index < members_.size(); ++index) {
         const auto &member = members_[index];
-        if (index == primary_ || !member.known || member.suspect) {
+        if (index == primary_ || !member.known || !member.listed || member.suspect) {
             continue;
         }
         const bool reached = member.mark >= mark;
         expected.push_back(reached ? now : expectedAt(member, mark, now) + member.roundTrip / 2);
     }
-    const auto replicasNeeded = members_.size() / 2;
+    const auto listed = std::count_if(members_.begin(), members_.end(), [](const Member &member) { return member.listed; });
+    const auto replicasNeeded = static_cast<std::size_t>(listed) / 2;
     if (replicasNeeded == 0) {
         return now;
     }
@@ -214,7 +227,7 @@
 {
     const auto &member = members_[index];
     const bool inTime = now + member.roundTrip < plan.need_.deadline;
-    return member.known && !member.leaving && !member.suspect && inTime && (plan.failed_ & bitOf(index)) == 0;
+    return member.known && member.listed && !member.leaving && !member.suspect && inTime && (plan.failed_ & bitOf(index)) == 0;
 }
 
 std::optional<ReadRouter::Candidate> ReadRouter::bestReplica(const ReadPlan &plan, TimePoint now) const
--- a/src/sessions/readrouter.h
+++ b/src/sessions/readrouter.h
@@ -130,9 +130,10 @@
     {
     }
 
-    /// Adds members that are not known yet and marks those that are no longer listed as leaving.
+    /// Sets the group's members; those that are no longer listed get no more reads.
     ///
-    /// Members keep their place, so plans stay valid; a member beyond maxMembers is not used.
+    /// Members keep their place, so plans stay valid; a new one takes the place of one that is no longer listed. Members
+    /// beyond maxMembers are not used.
     void setMembers(const std::vector<MemberName> &members);
 
     /// Takes in a member's report that arrived at \a now.
@@ -187,6 +188,7 @@
 private:
     struct Member {
         MemberName name;
+        bool listed = true;
         bool known = false;
         bool leaving = false;
         bool suspect = false;
@@ -206,6 +208,7 @@
     };
 
     [[nodiscard]] Member *find(const MemberName &name) noexcept;
+    void add(const MemberName &name);
     [[nodiscard]] std::size_t indexOf(const MemberName &name) const noexcept;
     [[nodiscard]] std::optional<ReadStep> settleRequired(ReadPlan &plan, TimePoint now) const;
     [[nodiscard]] std::optional<Candidate> bestReplica(const ReadPlan &plan, TimePoint now) const;
--- a/tests/sessions/test_readrouter.cpp
+++ b/tests/sessions/test_readrouter.cpp
@@ -164,6 +164,24 @@
     cr_assert(askedMember(router.route(third, at(1000))) == 0);
 }
 
+Test(sessions, membersMayBeReplacedWithoutEnd)
+{
+    auto router = routerWithMembers();
+    for (std::int64_t round = 1; round <= 100; ++round) {
+        const MemberName fresh{"fresh-" + std::to_string(round)};
+        router.setMembers({nameOf(0), fresh});
+        router.report(reportOf(1, 200), at(round * 1000));
+        auto report = reportOf(0, 100);
+        report.member = fresh;
+        router.report(report, at(round * 1000));
+        router.confirm(at(round * 1000), markOf(100));
+        ReadPlan plan{needAt(round * 1000)};
+        const auto step = router.route(plan, at(round * 1000 + 100));
+        cr_assert(is<AskMember>(step));
+        cr_assert(std::get<AskMember>(step).member == fresh, "a member that is no longer listed gets no reads, whatever it reports");
+    }
+}
+
 Test(sessions, theLessLoadedReplicaIsAsked)
 {
     auto router = routerWithMembers();
