Audit entries are named by record and version

Cause: promotions are audited with their term in place of a version, so promotions of two groups at the same term number had the same entry name, and the later one replaced or refused the earlier. Change: the name holds a hash of the record's key, too. Also reserves that the linter asked for.

--- a/src/cli/impl/output.cpp
+++ b/src/cli/impl/output.cpp
@@ -39,6 +39,7 @@
 void writeTable(std::ostream &out, const std::vector<std::string> &header, const std::vector<std::vector<std::string>> &rows)
 {
     std::vector<std::size_t> widths;
+    widths.reserve(header.size());
     for (const auto &title : header) {
         widths.push_back(title.size());
     }
@@ -91,6 +92,7 @@
         return *kind;
     }
     std::vector<std::string> names;
+    names.reserve(allRecordKinds.size());
     for (const auto kind : allRecordKinds) {
         names.emplace_back(toText(kind));
     }
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -31,6 +31,7 @@
 int refuseUnknown(const std::string &name, const std::vector<Subcommand> &subcommands, std::ostream &err)
 {
     std::vector<std::string> names;
+    names.reserve(subcommands.size());
     for (const auto &subcommand : subcommands) {
         names.push_back(subcommand.name);
     }
--- a/src/operators/change.cpp
+++ b/src/operators/change.cpp
@@ -21,6 +21,7 @@
 std::vector<ReadableForms> readableForms(const std::vector<ProxyView> &proxies)
 {
     std::vector<ReadableForms> forms;
+    forms.reserve(proxies.size());
     for (const auto &proxy : proxies) {
         forms.push_back({proxy.instance, proxy.forms});
     }
@@ -34,6 +35,15 @@
     return std::string(versionDigits - digits.size(), '0') + digits;
 }
 
+/// A name that only one change has; a deletion goes by the version that it takes away, since it may have none of its own.
+///
+/// The system also audits promotions, whose versions are terms and repeat between groups; so the record is part of the name.
+RecordName auditName(const RecordKey &key, std::uint64_t version, bool deleted)
+{
+    const auto record = std::to_string(stableHash(toText(key)));
+    return RecordName{paddedVersion(version) + "-" + record + (deleted ? "-deleted" : "")};
+}
+
 bool matches(const AuditEntry &entry, const HistoryFilter &filter)
 {
     const bool kind = !filter.kind || entry.key.kind == *filter.kind;
@@ -110,8 +120,7 @@
     entry.truncated = boundChanges(changes, maxAuditChanges, maxAuditValueBytes);
     entry.changes = std::move(changes);
     Record record;
-    // A deletion may have no revision of its own, but only one deletion takes a version away.
-    record.name = RecordName{deleted ? paddedVersion(fromVersion) + "-deleted" : paddedVersion(toVersion)};
+    record.name = auditName(key, deleted ? fromVersion : toVersion, deleted);
     record.spec = std::move(entry);
     return record;
 }
--- a/src/records/impl/describe.h
+++ b/src/records/impl/describe.h
@@ -146,6 +146,7 @@
         }
     } else {
         std::vector<std::string> texts;
+        texts.reserve(forms.size());
         for (const auto &known : forms) {
             texts.push_back(toText(known));
         }
--- a/tests/operators/test_operators.cpp
+++ b/tests/operators/test_operators.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include <set>
 #include <thread>
 
 using namespace cardamomstep;
@@ -212,6 +213,21 @@
     cr_assert(entriesToDrop(entries).empty());
 }
 
+Test(operators, auditEntriesOfDifferentChangesHaveDifferentNames)
+{
+    const auto nameOf = [](const char *record, std::uint64_t from, std::uint64_t to, bool deleted) {
+        const auto entry = auditRecord({RecordKind::GroupStatus, RecordName{record}}, {"system", WallTime{}}, from, to, {}, deleted);
+        cr_assert(isValidName(entry.name.text()));
+        return entry.name.text();
+    };
+    const std::set<std::string> names{nameOf("g1", 0, 7, false),
+                                      nameOf("g2", 0, 7, false),
+                                      nameOf("g1", 7, 8, true),
+                                      nameOf("g1", 0, UINT64_MAX, false),
+                                      nameOf("g1", UINT64_MAX, 0, true)};
+    cr_assert(names.size() == 5);
+}
+
 Test(operators, aLostAuditEntryIsSaid)
 {
     Fixture fixture;
