Commands: a full disk is not taken for a closed pipe

Cause: output that failed while it was written, not when it was flushed, ended with exit code 0 even on a full disk. Change: standard output is asked whether its reader is gone; only then is the failure quiet. Result: test aGoneReaderIsNoFailureButAFullDiskIs, with short and long output; 18 tests of cli pass.

--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -6,10 +6,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
-#include <cerrno>
 #include <csignal>
 #include <iomanip>
+#include <iostream>
 #include <string_view>
 
 namespace cardamomstep::cli {
@@ -54,13 +57,21 @@
     }
 }
 
+/// True when \a out failed because nobody reads it any more; only standard output can fail otherwise.
+bool isReaderGone(const std::ostream &out)
+{
+    if (&out != &std::cout) {
+        return true;
+    }
+    pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&descriptor, 1, 0) > 0 && (descriptor.revents & POLLERR) != 0;
+}
+
 /// The exit code after all output was handed over; an early closed pipe is no failure.
 int finishOutput(int code, std::ostream &out, std::ostream &err)
 {
-    errno = 0;
-    const bool broken = !out;
     out.flush();
-    if (out || broken || errno == EPIPE) {
+    if (out || isReaderGone(out)) {
         return code;
     }
     err << "cardamomstep: the output cannot be written\n";
--- a/tests/cli/test_cli.cpp
+++ b/tests/cli/test_cli.cpp
@@ -6,9 +6,14 @@
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <thread>
 
@@ -330,6 +335,35 @@
     cr_assert(contains(result.err, "p.json:2: instance: ") && contains(result.err, "p.json:3: drainMs: "));
 }
 
+Test(cli, aGoneReaderIsNoFailureButAFullDiskIs)
+{
+    Proxy proxy("127.0.0.1:18315");
+    for (int index = 0; index < 60; ++index) {
+        const auto name = "g" + std::to_string(index);
+        (void)proxy.fake.store.put({RecordKind::DatabaseGroup, RecordName{name}}, groupText(name, 1), nullptr);
+    }
+    // The short output fails when it is flushed, the long one while it is written.
+    const std::vector<std::vector<const char *>> lines{{"cardamomstep", "--help"}, {"cardamomstep", "get", "DatabaseGroup", "-o", "json"}};
+    const int before = dup(STDOUT_FILENO);
+    for (const auto &line : lines) {
+        std::ostringstream err;
+        int ends[2];
+        cr_assert(pipe(ends) == 0);
+        close(ends[0]);
+        dup2(ends[1], STDOUT_FILENO);
+        const int gone = cli::runCommand(static_cast<int>(line.size()), line.data(), std::cout, err);
+        std::cout.clear();
+        const int full = open("/dev/full", O_WRONLY);
+        dup2(full, STDOUT_FILENO);
+        std::ostringstream fullErr;
+        const int lost = cli::runCommand(static_cast<int>(line.size()), line.data(), std::cout, fullErr);
+        std::cout.clear();
+        dup2(before, STDOUT_FILENO);
+        cr_assert(gone == 0 && err.str().empty(), "%s: %d %s", line[1], gone, err.str().c_str());
+        cr_assert(lost == 1 && contains(fullErr.str(), "cannot be written"), "%s: %d", line[1], lost);
+    }
+}
+
 Test(cli, aClosedOutputIsNoFailure)
 {
     Proxy proxy("127.0.0.1:18314");
