--- a/tests/records/test_records.cpp
+++ b/tests/records/test_records.cpp
@@ -8,6 +8,8 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <sstream>
 
 using namespace cardamomstep;
@@ -37,6 +39,12 @@
     return places.str();
 }
 
+std::string fileText(const char *path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 bool contains(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -77,6 +85,26 @@
     cr_assert(holds);
 }
 
+Test(records, goldenFilesReadAndWriteTheSame)
+{
+    const std::pair<const char *, SchemaVersion> files[] = {{"tests/records/golden/v1.json", SchemaVersion::V1},
+                                                            {"tests/records/golden/v2.json", SchemaVersion::V2}};
+    for (const auto &[from, schema] : files) {
+        const auto read = readRecords(from, fileText(from));
+        cr_assert(bool(read), "%s", from);
+        cr_assert(read->size() == 8);
+        for (const auto &[to, target] : files) {
+            std::string written = "[\n";
+            for (auto record : *read) {
+                cr_assert(record.schema == schema);
+                record.schema = target;
+                written += (written.size() > 2 ? ",\n" : "") + writeRecord(record);
+            }
+            cr_assert(written + "\n]\n" == fileText(to), "%s written as %s", from, to);
+        }
+    }
+}
+
 Test(records, secondSchemaGroupsItsFields)
 {
     const auto read = readRecord("f", groupV1);
