--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -46,7 +46,8 @@
 cardamomstep_test(sessions)
 
 cardamomstep_library(requests base)
-cardamomstep_library(owner base groups sessions requests connections members Threads::Threads)
+cardamomstep_library(trace base groups)
+cardamomstep_library(owner base groups sessions requests connections members trace Threads::Threads)
 cardamomstep_test(requests)
 
 cardamomstep_library(operators records platform)
@@ -62,7 +63,6 @@
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
 target_link_libraries(cardamomstep PRIVATE app)
 
-cardamomstep_library(trace base groups)
 cardamomstep_test(trace)
 
 # Templates of these libraries use 0 for null pointers.
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 // The program: picks the subcommand.
 #include "app/proxycommand.h"
+#include "app/replaycommand.h"
 #include "cli/run.h"
 
 #include <iostream>
@@ -7,5 +8,10 @@
 int main(int argc, char **argv)
 {
     using namespace cardamomstep;
-    return cli::runCommand(argc, argv, std::cout, std::cerr, {{"proxy", "serve callers, operators and other proxies", runProxyCommand}});
+    return cli::runCommand(argc,
+                           argv,
+                           std::cout,
+                           std::cerr,
+                           {{"proxy", "serve callers, operators and other proxies", runProxyCommand},
+                            {"replay", "run a recorded trace again and compare its decisions", runReplayCommand}});
 }
--- a/src/app/ownership.cpp
+++ b/src/app/ownership.cpp
@@ -177,6 +177,9 @@
     options.rank = rank;
     options.holders = namesOf(owners);
     options.seed = seed_ ^ stableHash(name.text());
+    if (!settings_.trace.file.empty()) {
+        options.traceFile = settings_.trace.file + "." + name.text() + ".jsonl";
+    }
     return std::make_shared<GroupOwner>(std::move(options), events_, transactions_);
 }
 
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -477,6 +477,7 @@
     const auto owners = membership.owners();
     configuration.setInstances(owners, membership.listedDomains());
     membership.setConfiguration(configuration.revision());
+    store.setBudget(callBudgetFor(owners->instances().size()));
     ownership.reconcile({configuration.catalog(), owners, true});
 }
 
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -56,25 +56,26 @@
 {
     const std::lock_guard lock(core_->mutex);
     core_->setHolders(holders);
-    core_->perform(core_->monitor.setRank(rank, steadyNow()));
+    core_->feed(trace::SetRank{rank});
 }
 
 void GroupOwner::setPolicy(const GroupPolicy &policy)
 {
     const std::lock_guard lock(core_->mutex);
-    core_->perform(core_->monitor.setPolicy(policy, steadyNow()));
+    core_->feed(trace::SetPolicy{policy});
 }
 
 void GroupOwner::onPeerSighting(const InstanceName &peer, const PeerSighting &sighting)
 {
     const std::lock_guard lock(core_->mutex);
-    core_->perform(core_->monitor.onPeerSighting(peer, sighting, steadyNow()));
+    core_->feed(trace::Sighting{peer, sighting});
 }
 
 void GroupOwner::hold(Milliseconds span)
 {
     const std::lock_guard lock(core_->mutex);
     core_->heldUntil = span.count() > 0 ? steadyNow() + span : TimePoint{};
+    core_->feed(trace::PeerHold{core_->heldUntil});
     core_->primaryWaiters.signalAll();
 }
 
--- a/src/owner/impl/flow.h
+++ b/src/owner/impl/flow.h
@@ -53,7 +53,7 @@
     }
     const auto now = steadyNow();
     member->links.answered(lease.key, now);
-    core.perform(core.monitor.onStatementEvidence(name, now));
+    core.feed(trace::StatementEvidence{name});
     core.onState(name, reply->mark, reply->adopted, sentAt);
     return result;
 }
--- a/src/owner/impl/groupcore.cpp
+++ b/src/owner/impl/groupcore.cpp
@@ -37,7 +37,8 @@
 GroupCore::GroupCore(GroupOwnerOptions groupOptions, GroupEvents groupEvents)
     : options(std::move(groupOptions))
     , events(std::move(groupEvents))
-    , monitor(options.members, options.rank, options.policy, options.seed, steadyNow())
+    , startedAt_(steadyNow())
+    , monitor(options.members, options.rank, options.policy, options.seed, startedAt_)
     , acks(namesOf(options.members))
     , rounds(namesOf(options.members))
     , share(options.identity.instance, options.connections, shareExpiry)
@@ -54,7 +55,8 @@
 {
     const std::lock_guard lock(mutex);
     setHolders(options.holders);
-    perform(monitor.tick(steadyNow()));
+    beginTrace();
+    feed(trace::Tick{});
     ticker_ = std::thread([self = shared_from_this()] { self->runTicker(); });
 }
 
@@ -75,11 +77,39 @@
     std::map<MemberName, std::unique_ptr<Member>> ended;
     {
         const std::lock_guard lock(mutex);
+        endTrace();
         ended.swap(members);
     }
 }
 
-// Actions of the monitor
+// Inputs and actions of the monitor
+
+void GroupCore::feed(const trace::GroupInput &input)
+{
+    const auto now = steadyNow();
+    const auto actions = trace::apply(monitor, input, now);
+    if (trace_.is_open()) {
+        trace_ << trace::stepLine(input, actions, now) << '\n';
+    }
+    perform(actions);
+}
+
+void GroupCore::beginTrace()
+{
+    if (options.traceFile.empty()) {
+        return;
+    }
+    trace_.open(options.traceFile);
+    trace_ << trace::startLine({options.group, options.members, options.rank, options.policy, options.seed, startedAt_}) << '\n';
+}
+
+void GroupCore::endTrace()
+{
+    if (trace_.is_open()) {
+        trace_ << trace::outcomeLine(monitor.primary(), steadyNow()) << '\n';
+        trace_.close();
+    }
+}
 
 void GroupCore::perform(const GroupActions &actions)
 {
@@ -127,12 +157,11 @@
             return;
         }
         const std::lock_guard lock(core->mutex);
-        const auto now = steadyNow();
         if (const auto *report = std::get_if<MemberReport>(&result)) {
             core->takeReport(*report, sentAt);
         } else {
             core->router.setSuspect(action.member, true);
-            core->perform(core->monitor.onLinkFailure(action.member, std::get<LinkFailure>(result), now));
+            core->feed(trace::ReportFailure{action.member, std::get<LinkFailure>(result)});
         }
     });
 }
@@ -142,13 +171,11 @@
     const auto now = steadyNow();
     const bool told = std::find(leaving_.begin(), leaving_.end(), report.member) != leaving_.end();
     onState(report.member, report.log, report.adopted, sentAt);
-    perform(monitor.onReport(report.member, report, sentAt, now));
+    feed(trace::Report{report.member, report, sentAt});
     report.leaving = report.leaving || told;
     router.report(report, now);
     router.setSuspect(report.member, false);
-    if (report.leaving) {
-        moveLeavingPrimary();
-    }
+    moveLeavingPrimary();
     reportWaiters.signalAll();
 }
 
@@ -160,8 +187,13 @@
     }
     const auto report = monitor.lastReport(view->member);
     const bool told = std::find(leaving_.begin(), leaving_.end(), view->member) != leaving_.end();
-    if (told || (report && report->leaving)) {
-        perform(monitor.requestSwitchover(view->member, steadyNow()));
+    const bool leaves = told || (report && report->leaving);
+    if (leaves && switchoverAsked_ != view->member) {
+        switchoverAsked_ = view->member;
+        feed(trace::RequestSwitchover{view->member});
+    } else if (!leaves && switchoverAsked_ == view->member) {
+        switchoverAsked_ = MemberName{};
+        feed(trace::RequestSwitchover{switchoverAsked_});
     }
 }
 
@@ -194,13 +226,12 @@
             return;
         }
         const std::lock_guard lock(core->mutex);
-        const auto now = steadyNow();
         if (const auto *reply = std::get_if<TermReply>(&result)) {
             core->onState(name, reply->report.log, reply->report.adopted, sentAt);
-            core->router.report(reply->report, now);
-            core->perform(core->monitor.onOrderReply(name, kind, term, *reply, sentAt, now));
+            core->router.report(reply->report, steadyNow());
+            core->feed(trace::OrderReply{name, kind, term, *reply, sentAt});
         } else {
-            core->perform(core->monitor.onOrderFailure(name, kind, term, std::get<LinkFailure>(result), now));
+            core->feed(trace::OrderFailure{name, kind, term, std::get<LinkFailure>(result)});
         }
     });
 }
@@ -404,8 +435,7 @@
         tickerDue_ = false;
         const auto now = steadyNow();
         if (monitor.nextWake() <= now) {
-            const auto actions = monitor.tick(now);
-            perform(actions);
+            feed(trace::Tick{});
         }
         apply(admission.wake(now));
         pumpRounds();
--- a/src/owner/impl/groupcore.h
+++ b/src/owner/impl/groupcore.h
@@ -14,8 +14,11 @@
 #include "requests/attempt.h"
 #include "requests/retrybudget.h"
 #include "sessions/readrouter.h"
+#include "trace/groupinput.h"
+#include "trace/grouplines.h"
 
 #include <condition_variable>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -60,8 +63,8 @@
 
     // Inputs, locked
 
-    /// Carries out what the monitor asked for.
-    void perform(const GroupActions &actions);
+    /// Gives the monitor an input, records it when asked to, and carries out what the monitor asks for.
+    void feed(const trace::GroupInput &input);
 
     /// Feeds a member's state from any reply to the trackers and wakes who waited for it.
     void onState(const MemberName &member, const Mark &log, const Term &adopted, TimePoint sentAt);
@@ -104,6 +107,10 @@
     GroupOwnerOptions options;
     GroupEvents events;
 
+private:
+    TimePoint startedAt_;
+
+public:
     std::mutex mutex;
     GroupMonitor monitor;
     AckTracker acks;
@@ -130,6 +137,9 @@
         std::optional<Error> refusal;
     };
 
+    void perform(const GroupActions &actions);
+    void beginTrace();
+    void endTrace();
     void takeReport(MemberReport report, TimePoint sentAt);
     void moveLeavingPrimary();
     void sendReport(const SendReport &action);
@@ -140,6 +150,9 @@
     void runTicker();
     [[nodiscard]] TimePoint nextWake() const;
 
+    /// The leaving primary that the monitor was asked to move; empty when it was asked for none.
+    MemberName switchoverAsked_;
+    std::ofstream trace_;
     /// Members that are to stop, by others' word than their own.
     std::vector<MemberName> leaving_;
     std::map<std::uint64_t, Ticket> tickets_;
--- a/src/owner/options.h
+++ b/src/owner/options.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace cardamomstep {
@@ -34,6 +35,8 @@
     std::vector<InstanceName> holders;
     /// Differs between processes and starts.
     std::uint64_t seed = 1;
+    /// Where to record the monitor's inputs and actions; nothing is recorded when empty.
+    std::string traceFile;
 };
 
 /// What an owner tells the rest of the process; called with the group's lock held, so they must not call back or block.
