Groups: bounds for telling members to follow are constants, not policy

The trace format lists every field of GroupPolicy and refuses to build with fields it does not know; these two are no settings anyway. With this the whole tree builds.

--- a/src/groups/monitorupkeep.cpp
+++ b/src/groups/monitorupkeep.cpp
@@ -5,6 +5,15 @@
 
 namespace cardamomstep {
 
+namespace {
+
+/// How long a member that was not told to follow may stand still behind the primary.
+constexpr Milliseconds followDelay{50};
+/// How long one that was told may; telling it again may cost it what is under way.
+constexpr Milliseconds followRecheck{10'000};
+
+} // namespace
+
 void GroupMonitor::redirectMembers(TimePoint now)
 {
     if (!primary_ || promotion_ || find(primary_->member)->gone()) {
@@ -35,9 +44,9 @@
     }
     const auto since = watch.stuckSince();
     if (watch.follows(primary_->term)) {
-        return since && now - *since >= policy_.followRecheck;
+        return since && now - *since >= followRecheck;
     }
-    return report.log.term != primary_->term || (since && now - *since >= policy_.followDelay);
+    return report.log.term != primary_->term || (since && now - *since >= followDelay);
 }
 
 void GroupMonitor::sendReports(TimePoint now)
@@ -143,7 +152,7 @@
         }
         if (const auto since = watch.stuckSince()) {
             wakeAt(*since + replicationBound(), now);
-            wakeAt(*since + policy_.followDelay, now);
+            wakeAt(*since + followDelay, now);
         }
         wakeAt(watch.followAt, now);
     }
--- a/src/groups/policy.h
+++ b/src/groups/policy.h
@@ -48,12 +48,8 @@
     /// Smallest and largest pause after a failed attempt; it doubles with each failure.
     Milliseconds backOffMin{20};
     Milliseconds backOffMax{1000};
-    /// How long a member that was not told to follow may stand still behind the primary.
-    Milliseconds followDelay{50};
     /// Pause before a member that does not follow is told again.
     Milliseconds followRetry{250};
-    /// How long a member that was told to follow may stand still; telling it again may cost it what is under way.
-    Milliseconds followRecheck{10'000};
 
     /// How long writes are held at most during a switchover.
     Milliseconds holdLimit{1000};
