Tests of single promises, and the known red

A new primary's word is enough for an outcome: the coverage of position 0 of its term counts as reached before any entry of that term is covered. A read shows what no majority holds yet, and what the next primary may lack. Ruled out: the stand-ins, whose logs show that only one member ever held the entries.

--- /dev/null
+++ b/tests/system/test_promises.py
@@ -0,0 +1,143 @@
+"""Single promises, each under the failure that threatens it, on one whole deployment."""
+
+import contextlib
+import sys
+import threading
+import time
+
+from callers import Caller
+from cluster import Cluster
+from deployments import KAHEKSA
+from processes import wait_until
+from verdicts import check, check_equal, run_cases
+
+BUILD = sys.argv[1] if len(sys.argv) > 1 else "build"
+BASE = 24000
+GROUP = KAHEKSA.groups[0]
+KEY = f"{GROUP}/h/0"
+SECONDS_OF_READS = 1.0
+UNCONFIRMED_WINDOW_MS = 3000
+
+
+def deployment():
+    return Cluster(BUILD, BASE, KAHEKSA)
+
+
+@contextlib.contextmanager
+def replication_held(cluster):
+    """No replica of the group takes an entry."""
+    replicas = cluster.replicas(GROUP)
+    for replica in replicas:
+        replica.faults(stuck=True)
+    yield replicas
+    for replica in replicas:
+        replica.faults(stuck=False)
+
+
+def final_items(cluster):
+    wait_until(lambda: cluster.probe(GROUP), "the group takes writes")
+    return cluster.final_rows(GROUP).get(KEY, [])
+
+
+def session_sees_its_writes_through_every_proxy():
+    with deployment() as cluster:
+        for replica in cluster.replicas(GROUP):
+            replica.faults(lagMs=100)
+        caller = Caller(cluster)
+        for number in range(len(cluster.proxies)):
+            caller.roam(number)
+            item = f"i{number}"
+            check(caller.write("append", KEY, {"item": item}, requestId=item).ok, f"write of {item}")
+            caller.roam(number + 1)
+            answer = caller.read("get", KEY)
+            check(answer.ok and item in answer.value, f"read of {item} through another proxy: {answer}")
+
+
+def lost_answer_runs_once():
+    with deployment() as cluster:
+        cluster.primary(GROUP).faults(loseAnswers=1)
+        caller = Caller(cluster)
+        first = caller.write("append", KEY, {"item": "i1"}, requestId="i1")
+        check(first.ran in ("yes", "unknown"), f"answer: {first}")
+        caller.roam(1)
+        again = wait_until(lambda: sent_again(caller), "the request is answered when sent again")
+        check_equal(again.body["requestId"], "i1", "request id")
+        check_equal(final_items(cluster), ["i1"], "items")
+
+
+def sent_again(caller):
+    answer = caller.write("append", KEY, {"item": "i1"}, requestId="i1")
+    return answer if answer.ok else None
+
+
+def reused_request_id_is_refused():
+    with deployment() as cluster:
+        caller = Caller(cluster)
+        check(caller.write("append", KEY, {"item": "i1"}, requestId="r").ok, "first write")
+        caller.roam(1)
+        other = caller.write("append", KEY, {"item": "i2"}, requestId="r")
+        check_equal((other.status, other.error, other.ran), (409, "request-id-reused", "no"), "other body")
+        check_equal(final_items(cluster), ["i1"], "items")
+
+
+def damaged_token_is_refused():
+    with deployment() as cluster:
+        caller = Caller(cluster)
+        check(caller.write("append", KEY, {"item": "i1"}, requestId="i1").ok, "write")
+        caller.session = caller.session[:-1] + ("0" if caller.session[-1] != "0" else "1")
+        answer = caller.read("get", KEY)
+        check_equal((answer.status, answer.error), (400, "invalid-token"), "read with a damaged token")
+
+
+def reads_show_nothing_that_vanishes():
+    with deployment() as cluster:
+        writer, reader = Caller(cluster, 0), Caller(cluster, 1)
+        check(writer.write("append", KEY, {"item": "i0"}, requestId="i0").ok, "first write")
+        primary = cluster.primary(GROUP)
+        seen = set()
+        with replication_held(cluster):
+            writing = threading.Thread(target=writer.write, args=("append", KEY, {"item": "i1"}), kwargs={"requestId": "i1", "windowMs": 300})
+            writing.start()
+            end = time.monotonic() + SECONDS_OF_READS
+            while time.monotonic() < end:
+                answer = reader.read("get", KEY, windowMs=200)
+                seen.update(answer.value or [] if answer.ok else [])
+            primary.process.kill()
+            writing.join()
+        missing = seen - set(final_items(cluster))
+        check_equal(missing, set(), "items that were read and are missing at the end")
+
+
+def new_primary_acknowledges_only_what_a_majority_holds():
+    with deployment() as cluster:
+        caller = Caller(cluster, 0)
+        check(caller.write("append", KEY, {"item": "i0"}, requestId="i0").ok, "first write")
+        primary = cluster.primary(GROUP)
+        answers = []
+        with replication_held(cluster) as replicas:
+            more = {"requestId": "i1", "windowMs": UNCONFIRMED_WINDOW_MS}
+            writing = threading.Thread(target=lambda: answers.append(caller.write("append", KEY, {"item": "i1"}, **more)))
+            writing.start()
+            wait_until(lambda: "i1" in primary.rows().get(KEY, []), "the write reaches the primary")
+            for member in [primary, *replicas]:
+                member.order("adopt", term="50.1")
+            primary.order("lead", term="50.1")
+            time.sleep(0.1)
+            primary.process.kill()
+        writing.join()
+        items = final_items(cluster)
+        check(answers[0].ran != "yes" or "i1" in items, f"acknowledged, but missing at the end: {answers[0]}")
+        check(answers[0].ran != "no" or "i1" not in items, f"said not to have run, but there: {answers[0]}")
+
+
+CASES = [
+    session_sees_its_writes_through_every_proxy,
+    lost_answer_runs_once,
+    reused_request_id_is_refused,
+    damaged_token_is_refused,
+    reads_show_nothing_that_vanishes,
+    new_primary_acknowledges_only_what_a_majority_holds,
+]
+
+if __name__ == "__main__":
+    sys.exit(run_cases(CASES))
