--- a/tests/system/test_history.py
+++ b/tests/system/test_history.py
@@ -14,7 +14,7 @@
 
 BUILD = sys.argv[1] if len(sys.argv) > 1 else "build"
 SEED = int(sys.argv[2]) if len(sys.argv) > 2 else 1
-BASE = 22000
+BASE = 26000
 CALM_SECONDS = 0.5
 FAULT_SECONDS = 1.5
 
