--- a/src/sessions/readrouter.h
+++ b/src/sessions/readrouter.h
@@ -114,7 +114,8 @@
 /// for (;;) {
 ///     const auto step = router.route(plan, now);
 ///     // CollectReports: run a round, call confirm(began, bound), route again; without a majority, answer NotFresh
-///     // AskMember: execute, then verify(plan, member, reply.mark, now); true means answer, false means route again
+///     // AskMember: execute, then verify(plan, member, reply.mark, now); false means route again, true means
+///     //   answer once reply.mark is covered; where its term is superseded first, call failed() and route again
 ///     // AwaitReplica: sleep until a report arrives or `until`
 ///     // GiveUpRead: answer the error
 /// }
@@ -160,8 +161,9 @@
     /// The next step of \a plan.
     [[nodiscard]] ReadStep route(ReadPlan &plan, TimePoint now);
 
-    /// Judges the \a mark of a member's reply; true when it may be answered.
+    /// Judges the \a mark of a member's reply; true when it is fresh enough.
     ///
+    /// Before it is answered, a majority must be known to hold \a mark too, or a promotion may drop what the read saw.
     /// A stale reply raises the estimate of that member's lag, and the plan asks it no more.
     [[nodiscard]] bool verify(ReadPlan &plan, const MemberName &member, const Mark &mark, TimePoint now);
 
