Reads answer only what a majority holds; a term without covered entries covers nothing

Cause 1: AckTracker::coverage() compared position 0 with the asked position 0 of a term's start and said covered, so a write found in a new primary's log was acknowledged before the start entry of its term was held by a majority. Cause 2: ReadFlow answered a reply that was fresh but whose entry no majority held; a promotion could drop it afterwards. Ruled out: the stand-ins' replication (its own tests pass) and the checker (it catches each planted fault and passes 200 true histories). Change: position 0 asks for the start entry; a read waits until its mark is covered or goes to another member.

--- a/src/groups/coverage.cpp
+++ b/src/groups/coverage.cpp
@@ -45,7 +45,8 @@
 
 Coverage AckTracker::coverage(const Mark &mark) const noexcept
 {
-    if (positionAt(covered_, mark.term) >= mark.position) {
+    // A term without covered entries has position 0, which says nothing about its start entry.
+    if (positionAt(covered_, mark.term) >= std::max<std::uint64_t>(mark.position, 1)) {
         return Coverage::Covered;
     }
     return majorityAdopted_ > mark.term ? Coverage::Superseded : Coverage::Pending;
--- a/src/owner/impl/flow.h
+++ b/src/owner/impl/flow.h
@@ -54,7 +54,11 @@
     const auto now = steadyNow();
     member->links.answered(lease.key, now);
     core.feed(trace::StatementEvidence{name});
-    core.onState(name, reply->mark, reply->adopted, sentAt);
+    // A stored reply names the entry of its effect, not the end of the log.
+    if (!reply->repeated) {
+        core.onState(name, reply->mark, reply->adopted, sentAt);
+    }
+    core.router.setRoundTrip(name, now - sentAt);
     return result;
 }
 
--- a/src/owner/impl/groupcore.cpp
+++ b/src/owner/impl/groupcore.cpp
@@ -131,6 +131,9 @@
                        },
                        [this](const PrimaryChanged &change) { onPrimaryChanged(change); },
                        [this](const Note &note) {
+                           if (note.kind == NoteKind::PrimaryLost) {
+                               router.clearPrimary();
+                           }
                            events.note(options.group, note);
                            primaryWaiters.signalAll();
                        },
@@ -185,9 +188,8 @@
     if (!view) {
         return;
     }
-    const auto report = monitor.lastReport(view->member);
-    const bool told = std::find(leaving_.begin(), leaving_.end(), view->member) != leaving_.end();
-    const bool leaves = told || (report && report->leaving);
+    // What a member reports of itself, the monitor sees by itself.
+    const bool leaves = std::find(leaving_.begin(), leaving_.end(), view->member) != leaving_.end();
     if (leaves && switchoverAsked_ != view->member) {
         switchoverAsked_ = view->member;
         feed(trace::RequestSwitchover{view->member});
--- a/src/owner/impl/readflow.cpp
+++ b/src/owner/impl/readflow.cpp
@@ -129,6 +129,10 @@
     if (!core_.router.verify(plan, ask.member, reply.mark, steadyNow())) {
         return std::nullopt;
     }
+    if (!waitLasting(reply.mark)) {
+        core_.router.failed(plan, ask.member);
+        return std::nullopt;
+    }
     Answer answer;
     answer.rows = reply.rows;
     answer.rowCount = reply.rowCount;
@@ -139,6 +143,22 @@
     return answer;
 }
 
+bool ReadFlow::waitLasting(const Mark &mark)
+{
+    Waiter waiter;
+    const WaitList::Entry entry(core_.coverageWaiters, waiter);
+    for (;;) {
+        const auto coverage = core_.acks.coverage(mark);
+        if (coverage != Coverage::Pending || mark.position == 0) {
+            return coverage != Coverage::Superseded;
+        }
+        const bool woken = waiter.wait(lock_, deadline_);
+        if (!woken && steadyNow() >= deadline_) {
+            return false;
+        }
+    }
+}
+
 void ReadFlow::performAwait(TimePoint until)
 {
     Waiter waiter;
--- a/src/owner/impl/writeflow.cpp
+++ b/src/owner/impl/writeflow.cpp
@@ -115,6 +115,7 @@
         return attempt.replied(*reply, now);
     }
     const auto &failure = std::get<LinkFailure>(result);
+    (void)attempt.primaryChanged(core_.leader(), now);
     auto step = attempt.sendFailed(failure, now);
     // A refusal by admission is final: it names when to come back.
     const bool sentBefore = attempt.sends() > 1;
--- a/src/trace/impl/values.cpp
+++ b/src/trace/impl/values.cpp
@@ -13,7 +13,7 @@
     Milliseconds GroupPolicy::*field;
 };
 
-constexpr std::array<PolicyField, 23> policyFields{{
+constexpr std::array<PolicyField, 21> policyFields{{
     {"silenceBound", &GroupPolicy::silenceBound},
     {"heartbeatInterval", &GroupPolicy::heartbeatInterval},
     {"roundTripAllowance", &GroupPolicy::roundTripAllowance},
@@ -31,8 +31,6 @@
     {"orderRetry", &GroupPolicy::orderRetry},
     {"backOffMin", &GroupPolicy::backOffMin},
     {"backOffMax", &GroupPolicy::backOffMax},
-    {"followDelay", &GroupPolicy::followDelay},
-    {"followRecheck", &GroupPolicy::followRecheck},
     {"followRetry", &GroupPolicy::followRetry},
     {"holdLimit", &GroupPolicy::holdLimit},
     {"quietTime", &GroupPolicy::quietTime},
