--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -14,7 +14,7 @@
 
 from callers import Caller
 from cluster import OPERATOR_TOKEN, Cluster
-from deployments import KAHEKSA, NORTESOFT
+from deployments import NORTESOFT
 from processes import Connection, ask, wait_until
 from verdicts import check, check_equal, run_cases
 
