Stops: leaving members get no work on any path, open transactions end before their primary is moved

Cause 1: order replies and read checks told the router a member's own report without the word of plans and of the instance list, so reads went on to a leaving replica. Cause 2: a planned switchover did not wait for open transactions. Cause 3: a proxy that was listed but not yet heard counted as unable to read any form, a final refusal. Change: one way to the router adds that word; the first owner moves a leaving primary once no owner has a transaction of the group, and no new one begins there meanwhile; unknown forms are answered not-ready with a time to come back.

--- a/src/app/ownership.cpp
+++ b/src/app/ownership.cpp
@@ -145,6 +145,18 @@
     }
 }
 
+std::vector<GroupName> Ownership::firstOwned() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<GroupName> groups;
+    for (const auto &[name, owned] : owned_) {
+        if (!owned.owners.empty() && owned.owners.front().name == self_.name) {
+            groups.push_back(name);
+        }
+    }
+    return groups;
+}
+
 std::vector<DuePlan> Ownership::plansToWatch() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/app/ownership.h
+++ b/src/app/ownership.h
@@ -37,6 +37,9 @@
     /// Looks at the plans again, since their time may have come, and ends owners that were given up long enough ago.
     void refresh();
 
+    /// The groups where this proxy is the first owner.
+    [[nodiscard]] std::vector<GroupName> firstOwned() const;
+
     /// The plans for members of groups where this proxy is the first owner.
     [[nodiscard]] std::vector<DuePlan> plansToWatch() const;
 
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -100,8 +100,9 @@
     void askPeers(const GroupName &group);
     void tellPeers(const GroupName &group, std::optional<Milliseconds> hold);
     [[nodiscard]] peer::Sighting sighted(const peer::Sighting &seen);
-    [[nodiscard]] peer::Sighting sightingOf(const GroupOwner &owner, const GroupName &group) const;
+    [[nodiscard]] peer::Sighting sightingOf(const GroupOwner &owner, const GroupName &group);
     void watchPlan(const DuePlan &plan);
+    void moveLeavingPrimaries();
     [[nodiscard]] bool isQuiet(const DuePlan &plan, const GroupOwner &owner);
     [[nodiscard]] entry::FleetView view() const;
     [[nodiscard]] bool isReady() const;
@@ -379,7 +380,7 @@
     return sightingOf(*owner, seen.group);
 }
 
-peer::Sighting Proxy::Impl::sightingOf(const GroupOwner &owner, const GroupName &group) const
+peer::Sighting Proxy::Impl::sightingOf(const GroupOwner &owner, const GroupName &group)
 {
     peer::Sighting sighting;
     sighting.from = self.name;
@@ -387,11 +388,31 @@
     sighting.seen = owner.sighting();
     sighting.busy = owner.busyMembers();
     sighting.revision = configuration.revision();
+    sighting.transactions = static_cast<std::uint32_t>(transactions.countOf(group));
     return sighting;
 }
 
 // Stop plans
 
+void Proxy::Impl::moveLeavingPrimaries()
+{
+    for (const auto &group : ownership.firstOwned()) {
+        const auto owner = ownership.find(group);
+        if (!owner || !owner->leavingPrimary() || transactions.countOf(group) > 0) {
+            continue;
+        }
+        const auto others = ownership.otherOwners(group);
+        const bool free = std::none_of(others.begin(), others.end(), [&](const auto &other) {
+            const auto result = peers.sight(other.address, sightingOf(*owner, group), peerTimeout);
+            const auto *seen = std::get_if<peer::Sighting>(&result);
+            return seen != nullptr && seen->transactions > 0;
+        });
+        if (free) {
+            owner->moveLeavingPrimary();
+        }
+    }
+}
+
 void Proxy::Impl::watchPlan(const DuePlan &plan)
 {
     const auto owner = ownership.find(plan.group);
@@ -496,6 +517,7 @@
             beginLeaving();
         }
         ownership.refresh();
+        moveLeavingPrimaries();
         for (const auto &plan : ownership.plansToWatch()) {
             watchPlan(plan);
         }
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -85,6 +85,20 @@
     core_->setLeaving(leaving);
 }
 
+std::optional<MemberName> GroupOwner::leavingPrimary() const
+{
+    const std::lock_guard lock(core_->mutex);
+    const auto view = core_->monitor.primary();
+    const bool leaves = view && core_->isToldLeaving(view->member);
+    return leaves ? std::optional<MemberName>(view->member) : std::nullopt;
+}
+
+void GroupOwner::moveLeavingPrimary()
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->moveLeavingPrimary();
+}
+
 void GroupOwner::closeConnection(const Transactions::Use &use)
 {
     const std::lock_guard lock(core_->mutex);
--- a/src/owner/groupowner.h
+++ b/src/owner/groupowner.h
@@ -54,9 +54,15 @@
     /// Takes in that another owner holds writes for \a span; zero releases them.
     void hold(Milliseconds span);
 
-    /// Takes in the members that are to get no new work; a primary among them is switched over first.
+    /// Takes in the members that are to get no new work; see moveLeavingPrimary() for a primary.
     void setLeaving(const std::vector<MemberName> &leaving);
 
+    /// The primary, when it was told to leave.
+    [[nodiscard]] std::optional<MemberName> leavingPrimary() const;
+
+    /// Has the leaving primary replaced; to be called once no transaction of the group is open at any of its owners.
+    void moveLeavingPrimary();
+
     /// Closes the connection of a transaction that expired.
     void closeConnection(const Transactions::Use &use);
 
--- a/src/owner/impl/groupcore.cpp
+++ b/src/owner/impl/groupcore.cpp
@@ -171,31 +171,41 @@
 
 void GroupCore::takeReport(MemberReport report, TimePoint sentAt)
 {
-    const auto now = steadyNow();
-    const bool told = std::find(leaving_.begin(), leaving_.end(), report.member) != leaving_.end();
     onState(report.member, report.log, report.adopted, sentAt);
-    feed(trace::Report{report.member, report, sentAt});
-    report.leaving = report.leaving || told;
-    router.report(report, now);
+    const auto view = monitor.primary();
+    const bool leads = view && view->member == report.member;
+    // A leaving replica is not to be promoted; a leaving primary is moved by moveLeavingPrimary(), when its transactions are over.
+    feed(trace::Report{report.member, leads ? report : withLeaving(report), sentAt});
+    tellRouter(report);
     router.setSuspect(report.member, false);
-    moveLeavingPrimary();
     reportWaiters.signalAll();
 }
 
+bool GroupCore::isToldLeaving(const MemberName &member) const
+{
+    return std::find(leaving_.begin(), leaving_.end(), member) != leaving_.end();
+}
+
+MemberReport GroupCore::withLeaving(MemberReport report) const
+{
+    report.leaving = report.leaving || isToldLeaving(report.member);
+    return report;
+}
+
+void GroupCore::tellRouter(const MemberReport &report)
+{
+    router.report(withLeaving(report), steadyNow());
+}
+
 void GroupCore::moveLeavingPrimary()
 {
     const auto view = monitor.primary();
     if (!view) {
         return;
     }
-    // What a member reports of itself, the monitor sees by itself.
-    const bool leaves = std::find(leaving_.begin(), leaving_.end(), view->member) != leaving_.end();
-    if (leaves && switchoverAsked_ != view->member) {
+    if (isToldLeaving(view->member) && switchoverAsked_ != view->member) {
         switchoverAsked_ = view->member;
         feed(trace::RequestSwitchover{view->member});
-    } else if (!leaves && switchoverAsked_ == view->member) {
-        switchoverAsked_ = MemberName{};
-        feed(trace::RequestSwitchover{switchoverAsked_});
     }
 }
 
@@ -203,12 +213,15 @@
 {
     leaving_ = leaving;
     for (const auto &member : monitor.members()) {
-        if (auto report = monitor.lastReport(member.name)) {
-            report->leaving = report->leaving || std::find(leaving.begin(), leaving.end(), member.name) != leaving.end();
-            router.report(*report, steadyNow());
+        if (const auto report = monitor.lastReport(member.name)) {
+            tellRouter(*report);
         }
     }
-    moveLeavingPrimary();
+    if (!switchoverAsked_.empty() && !isToldLeaving(switchoverAsked_)) {
+        switchoverAsked_ = MemberName{};
+        feed(trace::RequestSwitchover{switchoverAsked_});
+    }
+    primaryWaiters.signalAll();
 }
 
 void GroupCore::sendOrder(const MemberName &name, OrderKind kind, const Term &term, const SendFollow *follow, Milliseconds timeout)
@@ -230,7 +243,7 @@
         const std::lock_guard lock(core->mutex);
         if (const auto *reply = std::get_if<TermReply>(&result)) {
             core->onState(name, reply->report.log, reply->report.adopted, sentAt);
-            core->router.report(reply->report, steadyNow());
+            core->tellRouter(reply->report);
             core->feed(trace::OrderReply{name, kind, term, *reply, sentAt});
         } else {
             core->feed(trace::OrderFailure{name, kind, term, std::get<LinkFailure>(result)});
@@ -291,7 +304,7 @@
                 return;
             }
             const std::lock_guard lock(core->mutex);
-            core->router.report(*report, steadyNow());
+            core->tellRouter(*report);
             core->onState(name, report->log, report->adopted, sentAt);
         });
     }
--- a/src/owner/impl/groupcore.h
+++ b/src/owner/impl/groupcore.h
@@ -78,6 +78,12 @@
     /// Takes in the members that are to get no new work.
     void setLeaving(const std::vector<MemberName> &leaving);
 
+    /// True when \a member is to get no new work, by others' word than its own.
+    [[nodiscard]] bool isToldLeaving(const MemberName &member) const;
+
+    /// Has a primary that was told to leave replaced; to be called once no transaction of the group is open.
+    void moveLeavingPrimary();
+
     /// Takes in the current owners of the group.
     void setHolders(const std::vector<InstanceName> &holders);
 
@@ -141,7 +147,8 @@
     void beginTrace();
     void endTrace();
     void takeReport(MemberReport report, TimePoint sentAt);
-    void moveLeavingPrimary();
+    [[nodiscard]] MemberReport withLeaving(MemberReport report) const;
+    void tellRouter(const MemberReport &report);
     void sendReport(const SendReport &action);
     void sendOrder(const MemberName &member, OrderKind kind, const Term &term, const SendFollow *follow, Milliseconds timeout);
     void sendChecks(RoundNumber round);
--- a/src/owner/impl/transactionflow.cpp
+++ b/src/owner/impl/transactionflow.cpp
@@ -41,13 +41,14 @@
         const WaitList::Entry entry(core_.primaryWaiters, waiter);
         bool inTime = core_.waitReleased(lock, deadline_);
         view = core_.monitor.primary();
-        while (inTime && !view) {
+        // A leaving primary is replaced once its transactions are over, so no new one begins there.
+        while (inTime && (!view || core_.isToldLeaving(view->member))) {
             inTime = waiter.wait(lock, deadline_);
             view = core_.monitor.primary();
         }
-    }
-    if (!view) {
-        return failedAnswer(Error{ErrorKind::NoPrimary, "the group has no primary"}.comingBackAfter(comeBackSoon));
+        if (!inTime) {
+            return failedAnswer(Error{ErrorKind::NoPrimary, "the group has no primary for new transactions"}.comingBackAfter(comeBackSoon));
+        }
     }
     return beginOn(*view);
 }
--- a/src/peer/impl/peercodec.cpp
+++ b/src/peer/impl/peercodec.cpp
@@ -277,6 +277,7 @@
     message.set_age_ms(sighting.seen.age.count());
     message.set_hold_ms(sighting.hold ? sighting.hold->count() : absent);
     message.set_revision(sighting.revision.value);
+    message.set_transactions(sighting.transactions);
     for (const auto &member : sighting.busy) {
         message.add_busy(member.text());
     }
@@ -297,6 +298,7 @@
         sighting.hold = Milliseconds{message.hold_ms()};
     }
     sighting.revision = Revision{message.revision()};
+    sighting.transactions = message.transactions();
     for (const auto &member : message.busy()) {
         sighting.busy.emplace_back(member);
     }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -33,6 +33,8 @@
     std::vector<MemberName> busy;
     /// Configuration revision in force at the sender.
     Revision revision;
+    /// Transactions of the group that are open at the sender.
+    std::uint32_t transactions = 0;
 };
 
 } // namespace cardamomstep::peer
--- a/src/records/forms.cpp
+++ b/src/records/forms.cpp
@@ -16,12 +16,24 @@
     return forms;
 }
 
+namespace {
+
+/// Time in which a proxy that has just started makes itself known.
+constexpr Milliseconds comeBackSoon{500};
+
+} // namespace
+
 std::optional<Error> checkReadable(const RecordForm &form, const std::vector<ReadableForms> &live)
 {
     constexpr std::size_t mostNamed = 10;
     std::string names;
     std::size_t count = 0;
+    std::optional<InstanceName> unheard;
     for (const auto &proxy : live) {
+        if (proxy.forms.empty()) {
+            unheard = proxy.instance;
+            continue;
+        }
         if (std::find(proxy.forms.begin(), proxy.forms.end(), form) != proxy.forms.end()) {
             continue;
         }
@@ -29,6 +41,10 @@
             names += (names.empty() ? "" : ", ") + proxy.instance.text();
         }
     }
+    if (count == 0 && unheard) {
+        const auto text = "it is not known yet which forms " + unheard->text() + " reads";
+        return Error{ErrorKind::NotReady, text}.comingBackAfter(comeBackSoon);
+    }
     if (count == 0) {
         return std::nullopt;
     }
--- a/src/records/forms.h
+++ b/src/records/forms.h
@@ -19,7 +19,8 @@
 /// The forms that this release reads and writes.
 [[nodiscard]] std::vector<RecordForm> ownForms();
 
-/// The refusal of \a form by the \a live proxies: ErrorKind::UnreadableForm naming those that cannot read it; none when all can.
+/// The refusal of \a form by the \a live proxies: ErrorKind::UnreadableForm naming those that cannot read it,
+/// ErrorKind::NotReady while the forms of one are not known yet (its list is empty); none when all can.
 [[nodiscard]] std::optional<Error> checkReadable(const RecordForm &form, const std::vector<ReadableForms> &live);
 
 } // namespace cardamomstep
