--- /dev/null
+++ b/tests/system/test_golden.py
@@ -0,0 +1,65 @@
+"""Whole sessions compared with their golden files in tests/system/golden.
+
+Usage: test_golden.py BUILD_FOLDER; with --update it writes the files anew and shows the differences (scripts/golden).
+"""
+
+import difflib
+import os
+import sys
+
+from cluster import OPERATOR_TOKEN, Cluster
+from deployments import KAHEKSA
+from processes import ask, wait_until
+from sessions import caller_session, operator_session
+from verdicts import check, run_cases
+
+BUILD = sys.argv[1] if len(sys.argv) > 1 else "build"
+UPDATE = "--update" in sys.argv[2:]
+BASE = 27000
+GOLDEN = os.path.join(os.path.dirname(os.path.abspath(__file__)), "golden")
+
+
+def compare(name, text):
+    path = os.path.join(GOLDEN, name)
+    stated = open(path).read() if os.path.exists(path) else ""
+    lines = difflib.unified_diff(stated.splitlines(), text.splitlines(), f"golden/{name}", "now", lineterm="")
+    difference = "\n".join(lines)
+    if UPDATE:
+        print(difference)
+        with open(path, "w") as file:
+            file.write(text)
+    else:
+        check(not difference, f"differs from its golden file:\n{difference}")
+
+
+def with_cluster(session):
+    with Cluster(BUILD, BASE, KAHEKSA, proxies=3, delays=False) as cluster:
+        return session(cluster)
+
+
+def caller():
+    compare("caller.txt", with_cluster(caller_session))
+
+
+def operator():
+    def session(cluster):
+        wait_until(lambda: takes_changes(cluster), "the proxies take changes")
+        return operator_session(cluster, cluster.folder)
+
+    compare("operator.txt", with_cluster(session))
+
+
+def takes_changes(cluster):
+    """True once each proxy accepts changes."""
+    spec = {"service": "probe", "groups": ["ledger-1"]}
+    record = {"kind": "RoutingIntent", "name": "probe", "schema": "v1", "spec": spec}
+    headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+    for proxy in cluster.proxies:
+        for method, body in (("PUT", record), ("DELETE", None)):
+            if ask(proxy.operators, method, "/v1/records/RoutingIntent/probe", body, headers=headers)[0] != 200:
+                return False
+    return True
+
+
+if __name__ == "__main__":
+    sys.exit(run_cases([caller, operator]))
