--- a/tests/trace/test_trace.cpp
+++ b/tests/trace/test_trace.cpp
@@ -1,6 +1,7 @@
 // Tests of recording and replaying a group's decisions.
 //
 // tests/trace/golden/failover.jsonl is a whole session: bootstrap, the primary's death, its return and a switchover.
+// tests/trace/recorded holds traces of real processes under failure, made by bench/record_traces.py.
 // After an intended change of the decisions, write it anew with CARDAMOMSTEP_WRITE_GOLDEN=1 and review the difference.
 #include "trace/replay.h"
 #include "trace/tracedmonitor.h"
@@ -9,6 +10,7 @@
 #include <rapidcheck.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -328,3 +330,18 @@
     });
     cr_assert(holds);
 }
+
+Test(trace, recordedFailuresReplayToTheSameDecisions)
+{
+    constexpr std::size_t cases = 12;
+    std::size_t replayed = 0;
+    for (const auto &entry : std::filesystem::directory_iterator("tests/trace/recorded")) {
+        std::ifstream recorded(entry.path());
+        std::ostringstream out;
+        std::ostringstream faults;
+        const auto exit = runReplay(recorded, out, faults);
+        cr_assert(exit == ReplayExit::Same, "%s: %s%s", entry.path().c_str(), out.str().c_str(), faults.str().c_str());
+        ++replayed;
+    }
+    cr_assert(replayed == cases);
+}
