--- a/src/app/statuswriter.cpp
+++ b/src/app/statuswriter.cpp
@@ -104,7 +104,7 @@
     if (done) {
         queue_.written();
     } else {
-        queue_.failed(std::move(*record), steadyNow());
+        queue_.failed(*record, steadyNow());
     }
     return idlePause;
 }
--- a/src/owner/impl/groupcore.cpp
+++ b/src/owner/impl/groupcore.cpp
@@ -169,7 +169,7 @@
     });
 }
 
-void GroupCore::takeReport(MemberReport report, TimePoint sentAt)
+void GroupCore::takeReport(const MemberReport &report, TimePoint sentAt)
 {
     onState(report.member, report.log, report.adopted, sentAt);
     const auto view = monitor.primary();
--- a/src/owner/impl/groupcore.h
+++ b/src/owner/impl/groupcore.h
@@ -146,7 +146,7 @@
     void perform(const GroupActions &actions);
     void beginTrace();
     void endTrace();
-    void takeReport(MemberReport report, TimePoint sentAt);
+    void takeReport(const MemberReport &report, TimePoint sentAt);
     [[nodiscard]] MemberReport withLeaving(MemberReport report) const;
     void tellRouter(const MemberReport &report);
     void sendReport(const SendReport &action);
--- a/src/status/statusqueue.cpp
+++ b/src/status/statusqueue.cpp
@@ -34,14 +34,14 @@
     failures_ = 0;
 }
 
-void StatusQueue::failed(Record record, TimePoint now)
+void StatusQueue::failed(const Record &record, TimePoint now)
 {
     constexpr unsigned mostDoublings = 10;
     const auto doublings = std::min(failures_, mostDoublings);
     const auto pause = std::min(limits_.longestPause, limits_.firstPause * (1U << doublings));
     ++failures_;
     notBefore_ = now + pause;
-    pending_.try_emplace(record.key(), std::move(record));
+    pending_.try_emplace(record.key(), record);
 }
 
 } // namespace cardamomstep
--- a/src/status/statusqueue.h
+++ b/src/status/statusqueue.h
@@ -43,7 +43,7 @@
     void written() noexcept;
 
     /// The record that next() gave could not be written; it waits again unless a newer one took its place.
-    void failed(Record record, TimePoint now);
+    void failed(const Record &record, TimePoint now);
 
     [[nodiscard]] std::size_t size() const noexcept
     {
--- a/tests/status/test_status.cpp
+++ b/tests/status/test_status.cpp
@@ -94,7 +94,7 @@
     auto first = queue.next(TimePoint{});
     cr_assert(first.has_value());
     cr_assert(!queue.next(TimePoint{Milliseconds{199}}).has_value());
-    queue.failed(std::move(*first), TimePoint{Milliseconds{200}});
+    queue.failed(*first, TimePoint{Milliseconds{200}});
     cr_assert(queue.size() == 2);
     cr_assert(!queue.next(TimePoint{Milliseconds{699}}).has_value());
     cr_assert(queue.next(TimePoint{Milliseconds{700}}).has_value());
@@ -106,7 +106,7 @@
     cr_assert(queue.add(planStatus("p", PlanProgress::Waiting)));
     auto old = queue.next(TimePoint{});
     cr_assert(queue.add(planStatus("p", PlanProgress::Done)));
-    queue.failed(std::move(*old), TimePoint{});
+    queue.failed(*old, TimePoint{});
     const auto record = queue.next(TimePoint{Seconds{60}});
     cr_assert(record.has_value());
     cr_assert(std::get<PlanStatus>(record->spec).progress == PlanProgress::Done);
