Connections that the other end closed while idle are not used again

Cause: an endpoint that had been killed and restarted left dead connections in the owners' pools. A write on one failed after its first byte had left, so it might have run; at the same term nothing could prove that it had not, and it was told outcome-unknown at the end of its window. Ruled out by traces of the owner: detection, promotion and reports were in order; by the answer's new text: the attempt was asking, not waiting for coverage. Change: a connection is checked for an end before it is used; the answer says what was being waited for.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 namespace cardamomstep::http {
@@ -124,9 +126,24 @@
     return impl_->open;
 }
 
-ExchangeResult Connection::exchange(const Request &request, Milliseconds timeout)
+bool Connection::checkOpen() noexcept
 {
     if (!impl_->open) {
+        return false;
+    }
+    // An idle connection has nothing to read: an end or unexpected bytes mean that it is of no more use.
+    char byte = 0;
+    const auto count = ::recv(impl_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool idle = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (!idle) {
+        close();
+    }
+    return impl_->open;
+}
+
+ExchangeResult Connection::exchange(const Request &request, Milliseconds timeout)
+{
+    if (!checkOpen()) {
         const auto connected = connect(timeout);
         if (!connected) {
             const bool timedOut = impl_->connectError == beast::error::timeout;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -56,7 +56,12 @@
     /// True between a successful connect() and the first failure, close, or "Connection: close" from the server.
     [[nodiscard]] bool isOpen() const noexcept;
 
-    /// Sends \a request and waits for the whole response; connects first when not open.
+    /// Closes the connection when the other end has closed it meanwhile; returns isOpen().
+    ///
+    /// A request on such a connection would fail after its first byte had left, and nobody could tell whether it ran.
+    bool checkOpen() noexcept;
+
+    /// Sends \a request and waits for the whole response; connects first when not open or closed by the other end.
     [[nodiscard]] ExchangeResult exchange(const Request &request, Milliseconds timeout);
 
     /// Closes the connection.
--- a/src/members/httplink.cpp
+++ b/src/members/httplink.cpp
@@ -172,7 +172,7 @@
 
     [[nodiscard]] LinkResult<MemberReply> send(const std::string &path, const MemberCall &call, Milliseconds timeout)
     {
-        if (!open || !requester.connection().isOpen()) {
+        if (!open || !requester.connection().checkOpen()) {
             open = false;
             return LinkFailure{LinkFault::Closed, true, "the connection is closed"};
         }
@@ -215,6 +215,12 @@
     return impl_->open;
 }
 
+bool HttpStatementLink::checkOpen() noexcept
+{
+    impl_->open = impl_->open && impl_->requester.connection().checkOpen();
+    return impl_->open;
+}
+
 LinkResult<MemberReply> HttpStatementLink::execute(const MemberCall &call, Milliseconds timeout)
 {
     return impl_->send("/v1/execute", call, timeout);
--- a/src/members/httplink.h
+++ b/src/members/httplink.h
@@ -64,6 +64,9 @@
     /// True until the first failure.
     [[nodiscard]] bool isOpen() const noexcept;
 
+    /// Notices when the member has closed the idle connection, for example by a restart; returns isOpen().
+    bool checkOpen() noexcept;
+
     [[nodiscard]] LinkResult<MemberReply> execute(const MemberCall &call, Milliseconds timeout);
     [[nodiscard]] LinkResult<MemberReply> begin(const MemberCall &call, Milliseconds timeout);
     [[nodiscard]] LinkResult<MemberReply> commit(const MemberCall &call, Milliseconds timeout);
--- a/src/owner/memberlinks.cpp
+++ b/src/owner/memberlinks.cpp
@@ -33,7 +33,12 @@
     for (;;) {
         const auto step = pool_.take(deadline, steadyNow());
         if (const auto *reuse = std::get_if<ReuseConnection>(&step)) {
-            return Lease{reuse->key, links_.at(reuse->key)};
+            const auto link = links_.at(reuse->key);
+            if (link->checkOpen()) {
+                return Lease{reuse->key, link};
+            }
+            close(reuse->key);
+            continue;
         }
         if (const auto *open = std::get_if<OpenConnection>(&step)) {
             return openNew(lock, open->key, deadline);
--- a/src/requests/attempt.cpp
+++ b/src/requests/attempt.cpp
@@ -315,13 +315,24 @@
     return fail(Error{ErrorKind::OutcomeUnknown, std::move(why)});
 }
 
+std::string WriteAttempt::waitingText() const
+{
+    if (const auto *waiting = std::get_if<WaitCoverage>(&step_)) {
+        return "a majority was not seen to hold " + toText(waiting->mark);
+    }
+    if (const auto *asking = std::get_if<AskOutcome>(&step_)) {
+        return "the primary of term " + toText(asking->term) + " did not tell it";
+    }
+    return inFlight() ? "the primary did not reply" : "there was no primary to ask";
+}
+
 WriteStep WriteAttempt::giveUp()
 {
     if (inFlight()) {
         mayHaveRun(sentTerm_);
     }
     if (maybeRan_) {
-        return failUnknown("the window ended before the outcome was known");
+        return failUnknown("the window ended before the outcome was known: " + waitingText());
     }
     return fail(Error{waitingFor_, "the window ended before the request could run"});
 }
--- a/src/requests/attempt.h
+++ b/src/requests/attempt.h
@@ -175,6 +175,8 @@
     [[nodiscard]] bool provesAbsence(const OutcomeReply &reply) const noexcept;
     [[nodiscard]] WriteStep fail(Error error);
     [[nodiscard]] WriteStep failUnknown(std::string why);
+    /// What the attempt was waiting for, for people.
+    [[nodiscard]] std::string waitingText() const;
     [[nodiscard]] WriteStep giveUp();
     void mayHaveRun(const Term &term) noexcept;
 
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -122,6 +122,23 @@
     cr_assert(server.requests() == 2);
 }
 
+Test(http, connectionThatTheServerClosedIsNotUsed)
+{
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    http::Connection connection{Address{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())}};
+    cr_assert(bool(connection.connect(patience)));
+    cr_assert(connection.checkOpen());
+    Tcp::socket(acceptor.accept()).close();
+    while (connection.checkOpen()) {
+        std::this_thread::yield();
+    }
+    acceptor.close();
+    const auto result = connection.exchange({"POST", "/", {}, {}, ""}, patience);
+    cr_assert(result.failure.stage == http::ExchangeStage::NotSent);
+    cr_assert(result.failure.refused);
+}
+
 Test(http, silentServerTimesOut)
 {
     boost::asio::io_context context;
