--- a/src/app/ownership.cpp
+++ b/src/app/ownership.cpp
@@ -17,17 +17,6 @@
 /// How long an owner that was given up still serves those who have not heard of it.
 constexpr Seconds retirement{5};
 
-std::vector<FailureDomain> domainsOf(const DatabaseGroup &group)
-{
-    std::vector<FailureDomain> domains;
-    for (const auto &member : group.members) {
-        domains.push_back(member.failureDomain);
-    }
-    std::sort(domains.begin(), domains.end());
-    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
-    return domains;
-}
-
 std::vector<InstanceName> namesOf(const std::vector<LiveInstance> &instances)
 {
     std::vector<InstanceName> names;
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -65,23 +65,6 @@
     return options;
 }
 
-std::string_view nameOf(const Statement &statement)
-{
-    switch (statement.verb) {
-    case Verb::Begin:
-        return "begin";
-    case Verb::Commit:
-        return "commit";
-    case Verb::Rollback:
-        return "rollback";
-    case Verb::Outcome:
-        return "outcome";
-    case Verb::Execute:
-        break;
-    }
-    return statement.access == Access::Write ? "write" : "read";
-}
-
 } // namespace
 
 struct Proxy::Impl {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -38,17 +38,6 @@
     return answer.error && answer.error->kind == ErrorKind::PeerUnreachable;
 }
 
-std::vector<FailureDomain> domainsOf(const DatabaseGroup &group)
-{
-    std::vector<FailureDomain> domains;
-    for (const auto &member : group.members) {
-        domains.push_back(member.failureDomain);
-    }
-    std::sort(domains.begin(), domains.end());
-    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
-    return domains;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(LiveInstance self, Sources sources, peer::Client &peers, Transactions &transactions)
--- a/src/records/catalog.cpp
+++ b/src/records/catalog.cpp
@@ -60,6 +60,17 @@
 
 } // namespace
 
+std::vector<FailureDomain> domainsOf(const DatabaseGroup &group)
+{
+    std::vector<FailureDomain> domains;
+    for (const auto &member : group.members) {
+        domains.push_back(member.failureDomain);
+    }
+    std::sort(domains.begin(), domains.end());
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
+    return domains;
+}
+
 std::shared_ptr<const Catalog> Catalog::empty()
 {
     return std::make_shared<const Catalog>();
--- a/src/records/catalog.h
+++ b/src/records/catalog.h
@@ -16,6 +16,9 @@
 
 namespace cardamomstep {
 
+/// The failure domains of a group's members, sorted, each once.
+[[nodiscard]] std::vector<FailureDomain> domainsOf(const DatabaseGroup &group);
+
 /// A change of one record, as the store's watch or another proxy reports it.
 struct RecordChange {
     RecordKey key;
--- a/src/statements/statement.h
+++ b/src/statements/statement.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cardamomstep {
 
@@ -72,6 +73,24 @@
     Mark mark;
 };
 
+/// "begin", "commit", "rollback", "outcome", "write" or "read", for logs and metrics.
+[[nodiscard]] inline std::string_view nameOf(const Statement &statement) noexcept
+{
+    switch (statement.verb) {
+    case Verb::Begin:
+        return "begin";
+    case Verb::Commit:
+        return "commit";
+    case Verb::Rollback:
+        return "rollback";
+    case Verb::Outcome:
+        return "outcome";
+    case Verb::Execute:
+        break;
+    }
+    return statement.access == Access::Write ? "write" : "read";
+}
+
 /// An answer that only reports \a error.
 [[nodiscard]] inline Answer failedAnswer(Error error)
 {
