Store slice: the client of the product's own store interface leaves the name platform

The folder platform/ at the root is to hold what translates the users' platform only, so src/platform, its tests and its page take the name store.

--- a/src/app/configurationservice.h
+++ b/src/app/configurationservice.h
@@ -6,7 +6,7 @@
 #include "app/taskpool.h"
 #include "configuration/spread.h"
 #include "peer/client.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 #include "records/catalog.h"
 
 #include <condition_variable>
--- a/src/app/membershipservice.h
+++ b/src/app/membershipservice.h
@@ -6,7 +6,7 @@
 #include "app/taskpool.h"
 #include "membership/view.h"
 #include "peer/client.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 #include "settings/settings.h"
 
 #include <functional>
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -16,7 +16,7 @@
 #include "operators/api.h"
 #include "peer/client.h"
 #include "peer/server.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/configuration/spread.h
+++ b/src/configuration/spread.h
@@ -7,7 +7,7 @@
 #include "configuration/currency.h"
 #include "configuration/state.h"
 #include "membership/rendezvous.h"
-#include "platform/watchresume.h"
+#include "store/watchresume.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/configuration/state.h
+++ b/src/configuration/state.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "configuration/fwd.h"
-#include "platform/object.h"
+#include "store/object.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -6,7 +6,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "membership/rendezvous.h"
-#include "platform/object.h"
+#include "store/object.h"
 
 #include <compare>
 #include <cstddef>
--- a/src/operators/platformstore.cpp
+++ b/src/operators/platformstore.cpp
@@ -1,7 +1,7 @@
 // Turns records into objects of the platform's store.
 #include "operators/platformstore.h"
 
-#include "platform/writer.h"
+#include "store/writer.h"
 
 #include <utility>
 
--- a/src/operators/platformstore.h
+++ b/src/operators/platformstore.h
@@ -4,8 +4,8 @@
 #include "base/random.h"
 #include "base/result.h"
 #include "operators/store.h"
-#include "platform/object.h"
-#include "platform/storeclient.h"
+#include "store/object.h"
+#include "store/storeclient.h"
 
 #include <cstdint>
 #include <mutex>
--- a/src/platform/backoff.cpp
+++ b/src/store/backoff.cpp
@@ -1,5 +1,5 @@
 // Draws the waits of a Backoff.
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
 #include <algorithm>
 
--- a/src/platform/backoff.h
+++ b/src/store/backoff.h
@@ -3,7 +3,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/fwd.h"
+#include "store/fwd.h"
 
 namespace cardamomstep {
 
--- a/src/platform/callbudget.cpp
+++ b/src/store/callbudget.cpp
@@ -1,5 +1,5 @@
 // Refills and takes tokens of a CallBudget.
-#include "platform/callbudget.h"
+#include "store/callbudget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/platform/callbudget.h
+++ b/src/store/callbudget.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/fwd.h"
+#include "store/fwd.h"
 
 #include <array>
 #include <cstddef>
--- a/src/platform/impl/storejson.cpp
+++ b/src/store/impl/storejson.cpp
@@ -1,5 +1,5 @@
 // Checks and reads JSON of the store.
-#include "platform/impl/storejson.h"
+#include "store/impl/storejson.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/impl/storejson.h
+++ b/src/store/impl/storejson.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/object.h"
+#include "store/object.h"
 
 #include <optional>
 #include <string_view>
--- a/src/platform/object.h
+++ b/src/store/object.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/ids.h"
-#include "platform/fwd.h"
+#include "store/fwd.h"
 
 #include <compare>
 #include <cstdint>
--- a/src/platform/resolution.cpp
+++ b/src/store/resolution.cpp
@@ -1,7 +1,7 @@
 // Decides from replies and read-backs whether a write took effect.
-#include "platform/resolution.h"
+#include "store/resolution.h"
 
-#include "platform/writer.h"
+#include "store/writer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/platform/resolution.h
+++ b/src/store/resolution.h
@@ -5,8 +5,8 @@
 
 #include "base/random.h"
 #include "base/result.h"
-#include "platform/backoff.h"
-#include "platform/object.h"
+#include "store/backoff.h"
+#include "store/object.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/platform/storeclient.cpp
+++ b/src/store/storeclient.cpp
@@ -1,8 +1,8 @@
 // The store client: a pool of connections, the call budget and the loop that drives WriteResolution.
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include "http/connection.h"
-#include "platform/impl/storejson.h"
+#include "store/impl/storejson.h"
 
 #include <algorithm>
 #include <mutex>
--- a/src/platform/storeclient.h
+++ b/src/store/storeclient.h
@@ -3,9 +3,9 @@
 
 #include "base/result.h"
 #include "http/fwd.h"
-#include "platform/callbudget.h"
-#include "platform/object.h"
-#include "platform/resolution.h"
+#include "store/callbudget.h"
+#include "store/object.h"
+#include "store/resolution.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/platform/watchresume.cpp
+++ b/src/store/watchresume.cpp
@@ -1,5 +1,5 @@
 // Steps of following the store.
-#include "platform/watchresume.h"
+#include "store/watchresume.h"
 
 namespace cardamomstep {
 
--- a/src/platform/watchresume.h
+++ b/src/store/watchresume.h
@@ -3,8 +3,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/backoff.h"
-#include "platform/object.h"
+#include "store/backoff.h"
+#include "store/object.h"
 
 #include <cstdint>
 #include <variant>
--- a/src/platform/writer.cpp
+++ b/src/store/writer.cpp
@@ -1,5 +1,5 @@
 // Reads and writes the writer's mark inside JSON values.
-#include "platform/writer.h"
+#include "store/writer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/writer.h
+++ b/src/store/writer.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/object.h"
+#include "store/object.h"
 
 #include <cstddef>
 #include <optional>
--- a/tests/configuration/fleetmodel.h
+++ b/tests/configuration/fleetmodel.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "configuration/spread.h"
-#include "platform/modelstore.h"
+#include "store/modelstore.h"
 
 #include <algorithm>
 #include <functional>
--- a/tests/platform/modelstore.h
+++ b/tests/store/modelstore.h
@@ -1,7 +1,7 @@
 // A model of the platform's store for tests in virtual time: conditional changes, history, listing and watch.
 #pragma once
 
-#include "platform/resolution.h"
+#include "store/resolution.h"
 
 #include <map>
 #include <optional>
--- a/tests/platform/test_follow.cpp
+++ b/tests/store/test_follow.cpp
@@ -1,8 +1,8 @@
 // Tests of following the store: resume after a 410, stale answers, the call budget and the end of an outage.
 #include "modelstore.h"
-#include "platform/backoff.h"
-#include "platform/callbudget.h"
-#include "platform/watchresume.h"
+#include "store/backoff.h"
+#include "store/callbudget.h"
+#include "store/watchresume.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
--- a/tests/platform/test_resolution.cpp
+++ b/tests/store/test_resolution.cpp
@@ -1,7 +1,7 @@
 // Tests of writes whose answers are lost, late or beaten by another writer.
 #include "modelstore.h"
-#include "platform/resolution.h"
-#include "platform/writer.h"
+#include "store/resolution.h"
+#include "store/writer.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
--- a/tests/platform/test_platform.cpp
+++ b/tests/store/test_store.cpp
@@ -1,11 +1,11 @@
-// Tests of the platform slice's values: object keys and the writer's mark.
-#include "platform/writer.h"
+// Tests of the store slice's values: object keys and the writer's mark.
+#include "store/writer.h"
 
 #include <criterion/criterion.h>
 
 using namespace cardamomstep;
 
-Test(platform, writerMarkNamesReplacedVersions)
+Test(store, writerMarkNamesReplacedVersions)
 {
     StoredObject object{ObjectKind{"group"}, ObjectName{"g"}, Revision{5}, R"({"a":1})", false};
     for (std::uint64_t round = 0; round < 20; ++round) {
@@ -21,7 +21,7 @@
     cr_assert((mark.earlier[0] == EarlierWriter{WriterNonce{"n18"}, Revision{28}}));
 }
 
-Test(platform, valuesThatAreNoObjectsTakeNoMark)
+Test(store, valuesThatAreNoObjectsTakeNoMark)
 {
     cr_assert(!withWriterMark("[1]", WriterNonce{"n"}, nullptr));
     cr_assert(!withWriterMark("{", WriterNonce{"n"}, nullptr));
--- a/tests/platform/test_storeclient.cpp
+++ b/tests/store/test_storeclient.cpp
@@ -1,8 +1,8 @@
 // Tests of the store client against a small fake store over HTTP.
 #include "http/server.h"
 #include "modelstore.h"
-#include "platform/storeclient.h"
-#include "platform/writer.h"
+#include "store/storeclient.h"
+#include "store/writer.h"
 
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
--- a/tests/system/test_standins.py
+++ b/tests/system/test_standins.py
@@ -1,4 +1,4 @@
-"""Proves that the stand-ins keep the rules of docs/design/member.md and docs/design/platform.md."""
+"""Proves that the stand-ins keep the rules of docs/design/member.md and docs/design/store-interface.md."""
 
 import contextlib
 import http.client
