--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -36,6 +36,19 @@
 cardamomstep_library(logging base settings Boost::log)
 cardamomstep_library(metrics base)
 
+# The data path for callers whose session is a connection, and the event loop that it runs on.
+cardamomstep_library(evloop http)
+cardamomstep_library(relay base sessions requests connections)
+cardamomstep_test(relay)
+
+# What translates the users' platform; the folder stands at the root.
+file(GLOB platformSources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cpp)
+add_library(platform STATIC ${platformSources})
+target_include_directories(platform PUBLIC ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/src)
+target_compile_options(platform PRIVATE -Wall -Wextra -Wpedantic -Wzero-as-null-pointer-constant -Wno-missing-field-initializers -Werror)
+target_link_libraries(platform PUBLIC evloop relay store logging metrics settings)
+cardamomstep_test(platform)
+
 cardamomstep_library(groups base)
 cardamomstep_test(groups)
 cardamomstep_library(peer base peerwire groups configuration membership)
@@ -61,12 +74,15 @@
 
 add_executable(cardamomstep ${CMAKE_SOURCE_DIR}/src/app/main.cpp)
 target_compile_options(cardamomstep PRIVATE -Wall -Wextra -Wpedantic -Werror)
-target_link_libraries(cardamomstep PRIVATE app)
+target_link_libraries(cardamomstep PRIVATE app platform)
 
 cardamomstep_test(trace)
 
 # Templates of these libraries use 0 for null pointers.
 set_source_files_properties(${CMAKE_SOURCE_DIR}/src/http/connection.cpp ${CMAKE_SOURCE_DIR}/src/http/server.cpp
+    ${CMAKE_SOURCE_DIR}/src/evloop/lineconnection.cpp ${CMAKE_SOURCE_DIR}/src/evloop/httpclient.cpp
+    ${CMAKE_SOURCE_DIR}/src/evloop/httpserver.cpp ${CMAKE_SOURCE_DIR}/platform/sessionproxycommand.cpp
+    ${CMAKE_SOURCE_DIR}/platform/objectstore.cpp
     PROPERTIES COMPILE_OPTIONS -Wno-zero-as-null-pointer-constant)
 # Micro benchmark; built on demand and not part of the verdict.
 add_executable(bench-decisions EXCLUDE_FROM_ALL ${CMAKE_SOURCE_DIR}/bench/decisions.cpp)
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,6 +2,7 @@
 #include "app/proxycommand.h"
 #include "app/replaycommand.h"
 #include "cli/run.h"
+#include "platform/sessionproxycommand.h"
 
 #include <iostream>
 
@@ -13,5 +14,6 @@
                            std::cout,
                            std::cerr,
                            {{"proxy", "serve callers, operators and other proxies", runProxyCommand},
+                            {"session-proxy", "serve callers whose session is a connection", platform::runSessionProxyCommand},
                             {"replay", "run a recorded trace again and compare its decisions", runReplayCommand}});
 }
--- a/src/base/errorkind.cpp
+++ b/src/base/errorkind.cpp
@@ -30,6 +30,8 @@
     {ErrorKind::NoPrimary, "no-primary", 503, Ran::No, true, "The group has no primary at the moment."},
     {ErrorKind::NotFresh, "not-fresh", 503, Ran::No, true, "No member is fresh enough for this read."},
     {ErrorKind::StatementFailed, "statement-failed", 422, Ran::No, false, "The endpoint refused the statement."},
+    {ErrorKind::StatementTimeout, "statement-timeout", 504, Ran::Unknown, true, "The endpoint did not answer the statement in time."},
+    {ErrorKind::UnknownStatement, "unknown-statement", 404, Ran::No, false, "The session has no prepared statement of this name."},
     {ErrorKind::Superseded, "superseded", 503, Ran::No, true, "The primary was superseded before the statement ran."},
     {ErrorKind::OutcomeUnknown,
      "outcome-unknown",
--- a/src/base/errorkind.h
+++ b/src/base/errorkind.h
@@ -41,6 +41,8 @@
     NoPrimary,
     NotFresh,
     StatementFailed,
+    StatementTimeout,
+    UnknownStatement,
     Superseded,
     OutcomeUnknown,
     TransactionUnknown,
--- /dev/null
+++ b/src/evloop/lineconnection.cpp
@@ -0,0 +1,252 @@
+// Reading lines, writing in batches, and connecting with a bound.
+#include "evloop/lineconnection.h"
+
+#include "http/address.h"
+
+#include <netinet/tcp.h>
+
+namespace cardamomstep::evloop {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Input that was delivered is dropped once it is larger than this.
+constexpr std::size_t compactBytes = 16'384;
+
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+constexpr int keepIdleSeconds = 5;
+constexpr int keepIntervalSeconds = 2;
+constexpr int keepCount = 3;
+
+void setOptions(tcp::socket &socket, Milliseconds peerTimeout)
+{
+    error_code ignored; // An option that is refused only delays the detection of a lost peer.
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(UserTimeout(static_cast<int>(peerTimeout.count())), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepIdle(keepIdleSeconds), ignored);
+    socket.set_option(KeepInterval(keepIntervalSeconds), ignored);
+    socket.set_option(KeepCount(keepCount), ignored);
+}
+
+} // namespace
+
+LineConnection::LineConnection(tcp::socket socket, const LineLimits &limits)
+    : socket_(std::move(socket))
+    , limits_(limits)
+{
+    setOptions(socket_, limits_.peerTimeout);
+}
+
+void LineConnection::start(LineHandler onLine, EndHandler onEnd)
+{
+    onLine_ = std::move(onLine);
+    onEnd_ = std::move(onEnd);
+    read();
+}
+
+void LineConnection::read()
+{
+    if (reading_ || closed_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](const error_code &error, std::size_t count) {
+        self->reading_ = false;
+        if (error) {
+            self->end(LineEnd::Closed);
+            return;
+        }
+        self->received(count);
+    });
+}
+
+void LineConnection::received(std::size_t count)
+{
+    if (closed_) {
+        return;
+    }
+    input_.append(chunk_.data(), count);
+    deliver();
+    if (!closed_ && input_.size() - consumed_ <= limits_.lineBytes) {
+        read();
+    } else if (!paused_) {
+        end(LineEnd::TooLong);
+    }
+}
+
+void LineConnection::deliver()
+{
+    if (delivering_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    delivering_ = true;
+    while (!paused_ && !closed_ && !closing_) {
+        const auto lineEnd = input_.find('\n', std::max(consumed_, scanned_));
+        if (lineEnd == std::string::npos) {
+            scanned_ = input_.size();
+            break;
+        }
+        auto line = std::string_view(input_).substr(consumed_, lineEnd - consumed_);
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        consumed_ = lineEnd + 1;
+        onLine_(line);
+    }
+    delivering_ = false;
+    if (consumed_ == input_.size() || consumed_ > compactBytes) {
+        input_.erase(0, consumed_);
+        scanned_ = scanned_ > consumed_ ? scanned_ - consumed_ : 0;
+        consumed_ = 0;
+    }
+    if (input_.empty() && input_.capacity() > compactBytes) {
+        input_.shrink_to_fit();
+    }
+}
+
+void LineConnection::resume()
+{
+    paused_ = false;
+    if (delivering_) {
+        return;
+    }
+    deliver();
+    read();
+}
+
+void LineConnection::send(std::string_view bytes)
+{
+    if (closed_) {
+        return;
+    }
+    queued_ += bytes;
+    if (queued_.size() > limits_.unsentBytes) {
+        end(LineEnd::NotReading);
+        return;
+    }
+    if (writing_ || flushPosted_) {
+        return;
+    }
+    flushPosted_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->flushPosted_ = false;
+        self->flush();
+    });
+}
+
+void LineConnection::flush()
+{
+    if (closed_ || writing_) {
+        return;
+    }
+    if (queued_.empty()) {
+        if (closing_) {
+            abort();
+        }
+        return;
+    }
+    writing_ = true;
+    sending_.swap(queued_);
+    queued_.clear();
+    asio::async_write(socket_, asio::buffer(sending_), [self = shared_from_this()](const error_code &error, std::size_t) {
+        self->writing_ = false;
+        self->sending_.clear();
+        if (error) {
+            self->end(LineEnd::Closed);
+            return;
+        }
+        self->flush();
+    });
+}
+
+void LineConnection::closeWhenSent()
+{
+    closing_ = true;
+    if (!writing_ && !flushPosted_) {
+        flush();
+    }
+}
+
+void LineConnection::abort()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    error_code ignored; // The connection is gone in either case.
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    // The handlers may hold what this object is called from.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->onLine_ = nullptr;
+        self->onEnd_ = nullptr;
+    });
+}
+
+void LineConnection::end(LineEnd reason)
+{
+    if (closed_) {
+        return;
+    }
+    const auto handler = onEnd_;
+    if (reason == LineEnd::Closed) {
+        abort();
+    }
+    if (handler) {
+        handler(reason);
+    }
+}
+
+void connect(asio::io_context &loop,
+             const Address &address,
+             Milliseconds timeout,
+             std::function<void(std::unique_ptr<tcp::socket>)> done)
+{
+    struct Attempt {
+        explicit Attempt(asio::io_context &context)
+            : socket(std::make_unique<tcp::socket>(context))
+            , timer(context)
+        {
+        }
+        std::unique_ptr<tcp::socket> socket;
+        asio::steady_timer timer;
+        bool finished = false;
+    };
+    const auto place = http::parseAddress(address);
+    error_code failure;
+    const auto ip = place ? asio::ip::make_address_v4(place->ip, failure) : asio::ip::address_v4{};
+    if (!place || failure) {
+        asio::post(loop, [done = std::move(done)] {
+            done(nullptr);
+        });
+        return;
+    }
+    const auto attempt = std::make_shared<Attempt>(loop);
+    const auto finish = [attempt, done = std::move(done)](bool connected) {
+        if (std::exchange(attempt->finished, true)) {
+            return;
+        }
+        attempt->timer.cancel();
+        done(connected ? std::move(attempt->socket) : nullptr);
+    };
+    attempt->timer.expires_after(timeout);
+    attempt->timer.async_wait([finish](const error_code &error) {
+        if (!error) {
+            finish(false);
+        }
+    });
+    attempt->socket->async_connect(tcp::endpoint(ip, place->port), [finish](const error_code &error) {
+        finish(!error);
+    });
+}
+
+} // namespace cardamomstep::evloop
--- /dev/null
+++ b/src/gateway/follower.h
@@ -0,0 +1,122 @@
+// Follows all objects of one kind in the store: lists, watches, and lists again where the history is gone.
+#pragma once
+
+#include "evloop/clock.h"
+#include "store/watchresume.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <variant>
+
+namespace cardamomstep::gateway {
+
+/// What a follower reports.
+struct FollowerHandlers {
+    std::function<void(const StoreListing &listing)> listed;
+    std::function<void(const StoreChanges &changes)> changed;
+    /// The store did not answer, or answered from an old state.
+    std::function<void(const Error &error)> failed;
+};
+
+/// Follows one kind; \a Store offers list() and watch().
+template<typename Store>
+class Follower : public std::enable_shared_from_this<Follower<Store>>
+{
+public:
+    Follower(boost::asio::io_context &loop, Store store, ObjectKind kind, WatchResumeOptions options, std::uint64_t seed, FollowerHandlers handlers)
+        : timer_(loop)
+        , store_(std::move(store))
+        , kind_(std::move(kind))
+        , resume_(options, seed)
+        , handlers_(std::move(handlers))
+    {
+    }
+
+    /// Makes the next call; calls follow each other until stop().
+    void step()
+    {
+        if (stopped_) {
+            return;
+        }
+        const auto now = evloop::bootTimeNow();
+        const auto next = resume_.next(complete_, now);
+        const auto self = this->shared_from_this();
+        if (std::holds_alternative<ListAll>(next)) {
+            store_.list(kind_, listTimeout, [self](const Result<StoreListing> &listing) {
+                self->onListing(listing);
+            });
+        } else if (const auto *watch = std::get_if<WatchAfter>(&next)) {
+            store_.watch(kind_, watch->after, watch->wait, [self](const Result<StoreChanges> &changes) {
+                self->onChanges(changes);
+            });
+        } else {
+            timer_.expires_after(std::get<PauseUntil>(next).time - now);
+            timer_.async_wait([self](const boost::system::error_code &error) {
+                if (!error) {
+                    self->step();
+                }
+            });
+        }
+    }
+
+    void stop()
+    {
+        stopped_ = true;
+        timer_.cancel();
+    }
+
+private:
+    static constexpr Milliseconds listTimeout{1000};
+
+    void onListing(const Result<StoreListing> &listing)
+    {
+        const auto now = evloop::bootTimeNow();
+        if (!listing) {
+            fail(listing.error(), now);
+            return;
+        }
+        // A listing starts over: nothing that was known before bounds its revision but what was taken over.
+        if (resume_.onListing(*listing, complete_, now) == StoreAnswer::Current) {
+            complete_ = listing->revision;
+            handlers_.listed(*listing);
+        }
+        step();
+    }
+
+    void onChanges(const Result<StoreChanges> &changes)
+    {
+        const auto now = evloop::bootTimeNow();
+        if (!changes) {
+            fail(changes.error(), now);
+            return;
+        }
+        if (resume_.onChanges(*changes, complete_, now) == StoreAnswer::Current) {
+            complete_ = changes->revision;
+            handlers_.changed(*changes);
+        }
+        step();
+    }
+
+    void fail(const Error &error, TimePoint now)
+    {
+        resume_.onFailure(now);
+        handlers_.failed(error);
+        step();
+    }
+
+    boost::asio::steady_timer timer_;
+    Store store_;
+    ObjectKind kind_;
+    WatchResume resume_;
+    FollowerHandlers handlers_;
+    /// All changes up to here are known.
+    Revision complete_;
+    bool stopped_ = false;
+};
+
+} // namespace cardamomstep::gateway
--- /dev/null
+++ b/src/gateway/fwd.h
@@ -0,0 +1,8 @@
+// Forward declarations of the gateway slice: the shell around the relay's decisions, on one event loop.
+#pragma once
+
+namespace cardamomstep::gateway {
+
+struct MemberLinkHandlers;
+
+} // namespace cardamomstep::gateway
--- /dev/null
+++ b/src/gateway/sessionproxy.h
@@ -0,0 +1,496 @@
+// The session proxy: one event loop that performs the relay's actions and reports what came of them.
+#pragma once
+
+#include "evloop/clock.h"
+#include "evloop/httpserver.h"
+#include "gateway/callerlink.h"
+#include "gateway/follower.h"
+#include "gateway/memberlink.h"
+#include "logging/boundedlog.h"
+#include "metrics/metrics.h"
+#include "relay/engine.h"
+#include "settings/sessionsettings.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace cardamomstep::gateway {
+
+/// Bounds of the shell.
+struct SessionProxyLimits {
+    /// Longest wait of one watch; configuration is at most this and a call's time behind.
+    Milliseconds watchWait{1500};
+    BackoffOptions watchBackoff{Milliseconds{60}, Milliseconds{800}};
+    /// Time between two writes of the log.
+    Milliseconds logInterval{100};
+    /// Time that a stopping proxy goes on taking new connections.
+    Milliseconds acceptAfterStop{2500};
+};
+
+/// One process on the platform; \a Wire is the line format, \a Store the store's interface.
+template<relay::WireCodec Wire, typename Store>
+class SessionProxy
+{
+public:
+    SessionProxy(boost::asio::io_context &loop, const SessionSettings &settings, std::string settingsFile)
+        : loop_(loop)
+        , settings_(settings)
+        , settingsFile_(std::move(settingsFile))
+        , log_(1, settings.logLevel, settings.instance.text())
+        , engine_(settings.failureDomain, stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count())))
+        , acceptor_(loop)
+        , wakeTimer_(loop)
+        , logTimer_(loop)
+    {
+    }
+
+    /// Opens the listeners and begins to follow the store; the error is ErrorKind::InvalidSettings.
+    [[nodiscard]] Result<Success> start()
+    {
+        log(LogLevel::Info, "start", {{"failure_domain", settings_.failureDomain.text()}});
+        auto opened = evloop::openAcceptor(acceptor_, settings_.listen.callers);
+        if (opened) {
+            opened = serveReadiness();
+        }
+        if (opened && !settings_.listen.metrics.empty()) {
+            opened = serveMetrics();
+        }
+        if (!opened) {
+            return opened;
+        }
+        accept();
+        followConfiguration();
+        followMembers();
+        scheduleLog();
+        perform();
+        return Success{};
+    }
+
+    /// Reads the settings file again; what can change while running is taken over.
+    void reload()
+    {
+        const auto read = readSessionSettingsFile(settingsFile_);
+        if (!read) {
+            log(LogLevel::Warning, "reload_refused", {{"fault", read.faults().front().description}});
+            return;
+        }
+        const bool changed = !(*read == settings_);
+        settings_.logLevel = read->logLevel;
+        settings_.stopGrace = read->stopGrace;
+        log_.setLevel(settings_.logLevel);
+        log(LogLevel::Info, "reload", {{"changed", static_cast<std::int64_t>(changed ? 1 : 0)}});
+    }
+
+    /// Begins a graceful shutdown; the loop ends when the last session has.
+    void stop()
+    {
+        if (engine_.draining()) {
+            return;
+        }
+        const auto now = evloop::bootTimeNow();
+        stoppingSince_ = now;
+        log(LogLevel::Info, "stop", {{"sessions", static_cast<std::int64_t>(engine_.callers())}});
+        engine_.drain(now + settings_.stopGrace / 2, now);
+        perform();
+        checkStopped();
+    }
+
+private:
+    using Caller = CallerLink<Wire>;
+    using Member = MemberLink<Wire>;
+
+    void log(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
+    {
+        log_.write(level, event, fields, evloop::bootTimeNow());
+    }
+
+    // Listeners
+
+    Result<Success> serveReadiness()
+    {
+        readiness_ = std::make_shared<evloop::HttpServer>(loop_, [this](const std::string &) {
+            return ready() ? evloop::HttpPage{200, "ready\n"} : evloop::HttpPage{503, "not ready\n"};
+        });
+        return readiness_->listen(settings_.listen.readiness);
+    }
+
+    Result<Success> serveMetrics()
+    {
+        metricsServer_ = std::make_shared<evloop::HttpServer>(loop_, [this](const std::string &) {
+            return evloop::HttpPage{200, metrics_.page()};
+        });
+        return metricsServer_->listen(settings_.listen.metrics);
+    }
+
+    [[nodiscard]] bool ready() const
+    {
+        return !engine_.draining() && engine_.routes().known() && membersKnown_;
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                addCaller(std::move(socket));
+            }
+            accept();
+        });
+    }
+
+    void addCaller(boost::asio::ip::tcp::socket socket)
+    {
+        const auto key = nextCaller_++;
+        CallerLinkHandlers handlers;
+        handlers.opened = [this, key](const relay::DatabaseName &database) {
+            auto opened = engine_.callerOpened(key, database, evloop::bootTimeNow());
+            perform();
+            return opened;
+        };
+        handlers.statement = [this, key](relay::SessionStatement statement) {
+            engine_.callerStatement(key, statement, evloop::bootTimeNow());
+            perform();
+        };
+        handlers.closed = [this, key] {
+            callers_.erase(key);
+            engine_.callerClosed(key, evloop::bootTimeNow());
+            perform();
+            checkStopped();
+        };
+        const auto caller = std::make_shared<Caller>(std::move(socket), std::move(handlers));
+        callers_.emplace(key, caller);
+        caller->start();
+    }
+
+    // Store
+
+    WatchResumeOptions watchOptions() const
+    {
+        return {limits_.watchWait, limits_.watchBackoff};
+    }
+
+    void followConfiguration()
+    {
+        FollowerHandlers handlers;
+        handlers.listed = [this](const StoreListing &listing) {
+            takeConfigurations(listing.objects);
+        };
+        handlers.changed = [this](const StoreChanges &changes) {
+            takeConfigurations(changes.changes);
+        };
+        handlers.failed = [this](const Error &error) {
+            storeFailed("configuration", error);
+        };
+        configuration_ = std::make_shared<Follower<Store>>(loop_,
+                                                           Store(loop_, settings_.store),
+                                                           ObjectKind{Store::configurationKind},
+                                                           watchOptions(),
+                                                           stableHash(settings_.instance.text()),
+                                                           std::move(handlers));
+        configuration_->step();
+    }
+
+    void takeConfigurations(const std::vector<StoredObject> &objects)
+    {
+        for (const auto &object : objects) {
+            if (object.name.text() == Store::configurationName && !object.deleted) {
+                takeConfiguration(object);
+            }
+        }
+        storeAnswered("configuration");
+    }
+
+    void takeConfiguration(const StoredObject &object)
+    {
+        const auto configuration = Store::decodeConfiguration(object);
+        if (!configuration) {
+            log(LogLevel::Error, "configuration_unreadable", {{"fault", configuration.error().description}});
+            return;
+        }
+        const auto now = evloop::bootTimeNow();
+        const auto before = engine_.routes().version();
+        engine_.configure(*configuration, now);
+        engine_.setMembers(directory_, now);
+        log(LogLevel::Info,
+            "configuration",
+            {{"version", static_cast<std::int64_t>(configuration->version)},
+             {"before", static_cast<std::int64_t>(before)},
+             {"revision", static_cast<std::int64_t>(object.version.value)},
+             {"routes", static_cast<std::int64_t>(configuration->routes.size())}});
+        membersChanged();
+    }
+
+    void followMembers()
+    {
+        FollowerHandlers handlers;
+        handlers.listed = [this](const StoreListing &listing) {
+            std::vector<relay::MemberEntry> entries;
+            for (const auto &object : listing.objects) {
+                if (auto entry = Store::decodeMember(object)) {
+                    entries.push_back(std::move(*entry));
+                }
+            }
+            directory_.replaceAll(entries, evloop::bootTimeNow());
+            membersKnown_ = true;
+            storeAnswered("members");
+            membersChanged();
+        };
+        handlers.changed = [this](const StoreChanges &changes) {
+            for (const auto &object : changes.changes) {
+                takeMember(object);
+            }
+            storeAnswered("members");
+            if (!changes.changes.empty() || directory_.expire(evloop::bootTimeNow())) {
+                membersChanged();
+            }
+        };
+        handlers.failed = [this](const Error &error) {
+            directory_.storeFailed(evloop::bootTimeNow());
+            storeFailed("members", error);
+        };
+        members_ = std::make_shared<Follower<Store>>(loop_,
+                                                     Store(loop_, settings_.store),
+                                                     ObjectKind{Store::memberKind},
+                                                     watchOptions(),
+                                                     stableHash(settings_.instance.text(), 1),
+                                                     std::move(handlers));
+        members_->step();
+    }
+
+    void takeMember(const StoredObject &object)
+    {
+        const MemberName name{object.name.text()};
+        const auto entry = object.deleted ? std::nullopt : Store::decodeMember(object);
+        if (object.deleted) {
+            directory_.remove(name, evloop::bootTimeNow());
+        } else if (entry) {
+            const auto *before = directory_.find(name);
+            const bool changed = before == nullptr || !(*before == *entry);
+            directory_.put(*entry);
+            if (!changed) {
+                return;
+            }
+        }
+        log(LogLevel::Info,
+            "member_entry",
+            {{"member", name.text()},
+             {"group", entry ? entry->group.text() : std::string("-")},
+             {"state", object.deleted ? "gone" : (entry ? (entry->draining ? "draining" : "ready") : "unreadable")},
+             {"claims_primary", static_cast<std::int64_t>(entry && entry->claimsPrimary ? 1 : 0)},
+             {"revision", static_cast<std::int64_t>(object.version.value)}});
+    }
+
+    void membersChanged()
+    {
+        const auto now = evloop::bootTimeNow();
+        engine_.setMembers(directory_, now);
+        for (const auto &[name, config] : engine_.routes().groups()) {
+            relay::PrimaryBelief belief;
+            belief.validUntil = TimePoint::max();
+            for (const auto &member : directory_.membersOf(name)) {
+                if (member.claimsPrimary) {
+                    belief.member = member.name;
+                }
+            }
+            engine_.setPrimary(name, belief, now);
+        }
+        perform();
+    }
+
+    void storeAnswered(std::string_view dependency)
+    {
+        auto &lost = lostDependencies_[std::string(dependency)];
+        if (std::exchange(lost, false)) {
+            log(LogLevel::Info, "dependency_regained", {{"dependency", dependency}});
+        }
+    }
+
+    void storeFailed(std::string_view dependency, const Error &error)
+    {
+        auto &lost = lostDependencies_[std::string(dependency)];
+        if (!std::exchange(lost, true)) {
+            log(LogLevel::Warning, "dependency_lost", {{"dependency", dependency}, {"fault", error.description}});
+        }
+        metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
+    }
+
+    // Actions
+
+    /// Performs what the engine asks for until it asks for nothing more.
+    void perform()
+    {
+        if (performing_) {
+            return;
+        }
+        performing_ = true;
+        for (auto actions = engine_.takeActions(); !actions.empty(); actions = engine_.takeActions()) {
+            for (auto &action : actions) {
+                std::visit(
+                    [this](auto &what) {
+                        carryOut(what);
+                    },
+                    action);
+            }
+        }
+        performing_ = false;
+        scheduleWake();
+    }
+
+    void carryOut(relay::ReplyToCaller &action)
+    {
+        const auto caller = callers_.find(action.caller);
+        metrics_.count(action.reply.error ? "statements_total{outcome=\"" + std::string(answerRule(action.reply.error->kind).name) + "\"}"
+                                          : "statements_total{outcome=\"ok\"}");
+        if (caller != callers_.end()) {
+            // The reply may bring the caller's next statement, and with it the end of the session.
+            const auto link = caller->second;
+            link->reply(action.reply);
+        }
+    }
+
+    void carryOut(relay::CloseCaller &action)
+    {
+        const auto caller = callers_.find(action.caller);
+        if (caller == callers_.end()) {
+            return;
+        }
+        const auto link = caller->second;
+        callers_.erase(caller);
+        link->close();
+        engine_.callerClosed(action.caller, evloop::bootTimeNow());
+        checkStopped();
+    }
+
+    void carryOut(relay::OpenLink &action)
+    {
+        const auto key = action.link;
+        MemberLinkHandlers handlers;
+        handlers.opened = [this, key](const std::optional<Mark> &position) {
+            engine_.linkOpened(key, position, evloop::bootTimeNow());
+            perform();
+        };
+        handlers.replied = [this, key](const relay::MemberReply &reply) {
+            engine_.linkReplied(key, reply, evloop::bootTimeNow());
+            perform();
+        };
+        handlers.closed = [this, key](std::optional<relay::MemberFault> refusal) {
+            memberLinks_.erase(key);
+            engine_.linkClosed(key, refusal, evloop::bootTimeNow());
+            perform();
+        };
+        const auto link = std::make_shared<Member>(std::move(handlers));
+        memberLinks_.emplace(key, link);
+        metrics_.count("member_connections_total");
+        link->open(loop_, action.address, action.group, action.member);
+    }
+
+    void carryOut(relay::SendToMember &action)
+    {
+        const auto link = memberLinks_.find(action.link);
+        if (link != memberLinks_.end()) {
+            link->second->send(action.requests);
+        }
+    }
+
+    void carryOut(relay::CloseLink &action)
+    {
+        const auto link = memberLinks_.find(action.link);
+        if (link == memberLinks_.end()) {
+            return;
+        }
+        const auto closing = link->second;
+        memberLinks_.erase(link);
+        closing->close();
+    }
+
+    void carryOut(relay::LogDecision &action)
+    {
+        log(action.level, action.event, action.fields);
+    }
+
+    // Time
+
+    void scheduleWake()
+    {
+        const auto wake = engine_.nextWake();
+        if (!wake || (wakeAt_ && *wakeAt_ <= *wake)) {
+            return;
+        }
+        wakeAt_ = wake;
+        wakeTimer_.expires_after(std::max(*wake - evloop::bootTimeNow(), Microseconds{0}));
+        wakeTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            wakeAt_.reset();
+            engine_.wake(evloop::bootTimeNow());
+            perform();
+            checkStopped();
+        });
+    }
+
+    void scheduleLog()
+    {
+        logTimer_.expires_after(limits_.logInterval);
+        logTimer_.async_wait([this](const boost::system::error_code &error) {
+            log_.flush();
+            if (!error) {
+                scheduleLog();
+            }
+        });
+    }
+
+    /// Ends the loop once a stopping process has no sessions left, or no time.
+    void checkStopped()
+    {
+        if (!stoppingSince_) {
+            return;
+        }
+        const auto since = evloop::bootTimeNow() - *stoppingSince_;
+        const bool outOfTime = since >= settings_.stopGrace * 9 / 10;
+        const bool done = engine_.callers() == 0 && since >= limits_.acceptAfterStop;
+        if (!done && !outOfTime) {
+            return;
+        }
+        log(LogLevel::Info,
+            "stopped",
+            {{"sessions", static_cast<std::int64_t>(engine_.callers())}, {"after_ms", static_cast<std::int64_t>(wholeMilliseconds(since).count())}});
+        log_.flush();
+        loop_.stop();
+    }
+
+    boost::asio::io_context &loop_;
+    SessionSettings settings_;
+    std::string settingsFile_;
+    SessionProxyLimits limits_;
+    BoundedLog log_;
+    Metrics metrics_;
+    relay::Engine engine_;
+    relay::MemberDirectory directory_;
+    bool membersKnown_ = false;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<evloop::HttpServer> readiness_;
+    std::shared_ptr<evloop::HttpServer> metricsServer_;
+    std::shared_ptr<Follower<Store>> configuration_;
+    std::shared_ptr<Follower<Store>> members_;
+    std::unordered_map<relay::CallerKey, std::shared_ptr<Caller>> callers_;
+    std::unordered_map<relay::LinkKey, std::shared_ptr<Member>> memberLinks_;
+    std::unordered_map<std::string, bool> lostDependencies_;
+    relay::CallerKey nextCaller_ = 1;
+    boost::asio::steady_timer wakeTimer_;
+    boost::asio::steady_timer logTimer_;
+    /// When wakeTimer_ fires; nothing while it is not set.
+    std::optional<TimePoint> wakeAt_;
+    std::optional<TimePoint> stoppingSince_;
+    /// True while actions are carried out; what they bring about is carried out in the same turn.
+    bool performing_ = false;
+};
+
+} // namespace cardamomstep::gateway
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -1,6 +1,8 @@
 // Structured log lines through Boost.Log.
 #include "logging/log.h"
 
+#include "logging/impl/linetext.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -10,8 +12,6 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
-#include <chrono>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 
@@ -20,6 +20,8 @@
 namespace {
 
 namespace logging = boost::log;
+using impl::levelName;
+using impl::timeNow;
 
 struct LogState {
     std::atomic<LogLevel> level{LogLevel::Info};
@@ -33,41 +35,6 @@
     return instance;
 }
 
-std::string_view levelName(LogLevel level)
-{
-    switch (level) {
-    case LogLevel::Debug:
-        return "debug";
-    case LogLevel::Info:
-        return "info";
-    case LogLevel::Warning:
-        return "warning";
-    case LogLevel::Error:
-        break;
-    }
-    return "error";
-}
-
-std::string timeNow()
-{
-    const auto now = std::chrono::system_clock::now();
-    const auto seconds = std::chrono::system_clock::to_time_t(now);
-    const auto milliseconds = std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    char text[32] = {};
-    const auto length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-    const auto fraction = std::to_string(1000 + milliseconds).substr(1);
-    return std::string(text, length) + "." + fraction + "Z";
-}
-
-/// \a value as it stands in a key=value line: quoted when it holds anything but plain letters.
-std::string keyValueText(const std::string &value)
-{
-    const bool plain = !value.empty() && value.find_first_of(" =\"\\\n\r\t") == std::string::npos;
-    return plain ? value : nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 } // namespace
 
 Result<Success> setUpLog(const LogSettings &settings, const std::string &instance)
@@ -103,10 +70,12 @@
         }
         return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
-    std::string line =
-        "level=" + std::string(levelName(level)) + " instance=" + keyValueText(std::string(instance)) + " event=" + std::string(event);
+    std::string line = "level=" + std::string(levelName(level)) + " instance=";
+    impl::appendValue(line, instance);
+    line += " event=" + std::string(event);
     for (const auto &field : fields) {
-        line += " " + std::string(field.key) + "=" + keyValueText(field.value);
+        line += " " + std::string(field.key) + "=";
+        impl::appendValue(line, field.value);
     }
     return line;
 }
--- /dev/null
+++ b/src/relay/action.h
@@ -0,0 +1,54 @@
+// What the engine tells its shell to do.
+#pragma once
+
+#include "logging/log.h"
+#include "relay/message.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace cardamomstep::relay {
+
+/// Send the whole answer to a caller.
+struct ReplyToCaller {
+    CallerKey caller = 0;
+    CallerReply reply;
+};
+
+/// End a caller's session once what was sent has left.
+struct CloseCaller {
+    CallerKey caller = 0;
+};
+
+/// Connect to a member; report Engine::linkOpened() or Engine::linkClosed().
+struct OpenLink {
+    LinkKey link = 0;
+    MemberName member;
+    GroupName group;
+    Address address;
+};
+
+/// Send requests to a member in this order.
+struct SendToMember {
+    LinkKey link = 0;
+    std::vector<MemberRequest> requests;
+};
+
+/// Close a connection; nothing that still arrives on it is reported.
+struct CloseLink {
+    LinkKey link = 0;
+};
+
+/// Write a log line.
+struct LogDecision {
+    LogLevel level = LogLevel::Info;
+    std::string_view event;
+    std::vector<LogField> fields;
+};
+
+using Action = std::variant<ReplyToCaller, CloseCaller, OpenLink, SendToMember, CloseLink, LogDecision>;
+using Actions = std::vector<Action>;
+
+} // namespace cardamomstep::relay
--- /dev/null
+++ b/src/relay/callersession.cpp
@@ -0,0 +1,218 @@
+// The statements that a session answers itself, and what members' answers do to it.
+#include "relay/callersession.h"
+
+#include <algorithm>
+
+namespace cardamomstep::relay {
+
+namespace {
+
+/// Values and prepared names that one session may keep.
+constexpr std::size_t maxSessionEntries = 1024;
+
+bool isLocal(StatementKind kind)
+{
+    return kind == StatementKind::SetValue || kind == StatementKind::Prepare || kind == StatementKind::Deallocate;
+}
+
+} // namespace
+
+std::string memberName(const PreparedShape &shape)
+{
+    return (shape.access == Access::Write ? "w_" : "r_") + shape.shape;
+}
+
+StatementNeed CallerSession::take(const SessionStatement &statement, CallerReply &reply)
+{
+    switch (phase_) {
+    case TransactionPhase::None:
+        return takeOutside(statement, reply);
+    case TransactionPhase::Announced:
+    case TransactionPhase::Open:
+        return takeInside(statement, reply);
+    case TransactionPhase::Failed:
+    case TransactionPhase::Lost:
+        break;
+    }
+    return takeAfterFailure(statement, reply);
+}
+
+StatementNeed CallerSession::takeOutside(const SessionStatement &statement, CallerReply &reply)
+{
+    if (isLocal(statement.kind)) {
+        return takeLocal(statement, reply);
+    }
+    switch (statement.kind) {
+    case StatementKind::Begin:
+        phase_ = TransactionPhase::Announced;
+        readOnly_ = statement.readOnly;
+        wrote_ = false;
+        reply.state = state();
+        return StatementNeed::Answered;
+    case StatementKind::Rollback:
+        reply.state = state();
+        return StatementNeed::Answered;
+    case StatementKind::Commit:
+        return refuse(reply, ErrorKind::MalformedRequest, "no transaction is open");
+    case StatementKind::Execute:
+        if (prepared(statement.name) == nullptr) {
+            return refuse(reply, ErrorKind::UnknownStatement, statement.name);
+        }
+        return StatementNeed::Forward;
+    case StatementKind::Read:
+    case StatementKind::Write:
+        return StatementNeed::Forward;
+    default:
+        return refuse(reply, ErrorKind::MalformedRequest, "the statement cannot be read");
+    }
+}
+
+StatementNeed CallerSession::takeInside(const SessionStatement &statement, CallerReply &reply)
+{
+    const bool open = phase_ == TransactionPhase::Open;
+    if (isLocal(statement.kind)) {
+        return takeLocal(statement, reply);
+    }
+    switch (statement.kind) {
+    case StatementKind::Rollback:
+        end();
+        reply.state = state();
+        return open ? StatementNeed::EndAtMember : StatementNeed::Answered;
+    case StatementKind::Commit:
+        if (open) {
+            return StatementNeed::Forward;
+        }
+        end();
+        reply.state = state();
+        return StatementNeed::Answered;
+    case StatementKind::Execute:
+        if (prepared(statement.name) == nullptr) {
+            return refuse(reply, ErrorKind::UnknownStatement, statement.name);
+        }
+        break;
+    case StatementKind::Read:
+    case StatementKind::Write:
+        break;
+    default:
+        return refuse(reply, ErrorKind::MalformedRequest, "not allowed inside a transaction");
+    }
+    if (readOnly_ && writes(statement)) {
+        return refuse(reply, ErrorKind::Superseded, "the transaction only reads");
+    }
+    return StatementNeed::Forward;
+}
+
+StatementNeed CallerSession::takeAfterFailure(const SessionStatement &statement, CallerReply &reply)
+{
+    if (statement.kind == StatementKind::Rollback) {
+        end();
+        reply.state = state();
+        return StatementNeed::Answered;
+    }
+    if (statement.kind == StatementKind::Commit) {
+        end();
+        return refuse(reply, ErrorKind::TransactionAborted, "the transaction had failed and was rolled back");
+    }
+    if (phase_ == TransactionPhase::Lost) {
+        return refuse(reply, ErrorKind::TransactionAborted, "the transaction was rolled back while it rested");
+    }
+    return refuse(reply, ErrorKind::MalformedRequest, "the transaction failed; only its end is accepted");
+}
+
+StatementNeed CallerSession::takeLocal(const SessionStatement &statement, CallerReply &reply)
+{
+    if (statement.kind == StatementKind::Deallocate) {
+        if (prepared_.erase(statement.name) == 0) {
+            return refuse(reply, ErrorKind::UnknownStatement, statement.name);
+        }
+    } else if (values_.size() + prepared_.size() >= maxSessionEntries) {
+        return refuse(reply, ErrorKind::TooLarge, "the session keeps too many values and prepared statements");
+    } else if (statement.kind == StatementKind::Prepare) {
+        prepared_[statement.name] = PreparedShape{statement.access, statement.argument};
+    } else {
+        values_[statement.name] = statement.argument;
+    }
+    reply.state = state();
+    return StatementNeed::Answered;
+}
+
+/// Answers with an error; inside a transaction, the transaction fails with it.
+StatementNeed CallerSession::refuse(CallerReply &reply, ErrorKind kind, std::string description)
+{
+    const bool open = phase_ == TransactionPhase::Open;
+    if (phase_ != TransactionPhase::None) {
+        phase_ = TransactionPhase::Failed;
+    }
+    reply.error = Error{kind, std::move(description)};
+    reply.state = state();
+    return open ? StatementNeed::EndAtMember : StatementNeed::Answered;
+}
+
+void CallerSession::succeeded(const SessionStatement &statement, const std::optional<Mark> &position)
+{
+    if (phase_ == TransactionPhase::None) {
+        if (writes(statement) && position) {
+            lastCommit_ = std::max(lastCommit_.value_or(Mark{}), *position);
+        }
+        return;
+    }
+    if (statement.kind == StatementKind::Commit) {
+        if (wrote_ && position) {
+            lastCommit_ = std::max(lastCommit_.value_or(Mark{}), *position);
+        }
+        end();
+        return;
+    }
+    wrote_ = wrote_ || writes(statement);
+}
+
+void CallerSession::failed(const SessionStatement &statement) noexcept
+{
+    if (phase_ == TransactionPhase::None) {
+        return;
+    }
+    if (statement.kind == StatementKind::Commit) {
+        end();
+        return;
+    }
+    phase_ = TransactionPhase::Failed;
+}
+
+SessionState CallerSession::state() const noexcept
+{
+    switch (phase_) {
+    case TransactionPhase::None:
+        return SessionState::Idle;
+    case TransactionPhase::Announced:
+    case TransactionPhase::Open:
+        return SessionState::InTransaction;
+    case TransactionPhase::Failed:
+    case TransactionPhase::Lost:
+        break;
+    }
+    return SessionState::Failed;
+}
+
+bool CallerSession::writes(const SessionStatement &statement) const
+{
+    if (statement.kind == StatementKind::Execute) {
+        const auto *shape = prepared(statement.name);
+        return shape != nullptr && shape->access == Access::Write;
+    }
+    return statement.kind == StatementKind::Write;
+}
+
+const PreparedShape *CallerSession::prepared(const std::string &name) const
+{
+    const auto found = prepared_.find(name);
+    return found == prepared_.end() ? nullptr : &found->second;
+}
+
+void CallerSession::end() noexcept
+{
+    phase_ = TransactionPhase::None;
+    wrote_ = false;
+    readOnly_ = false;
+}
+
+} // namespace cardamomstep::relay
--- /dev/null
+++ b/src/relay/directory.cpp
@@ -0,0 +1,85 @@
+// Keeps members whose entries lapsed while the store was in trouble.
+#include "relay/directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cardamomstep::relay {
+
+void MemberDirectory::replaceAll(const std::vector<MemberEntry> &entries, TimePoint now)
+{
+    std::set<MemberName> listed;
+    for (const auto &entry : entries) {
+        listed.insert(entry.name);
+        put(entry);
+    }
+    std::vector<MemberName> missing;
+    for (const auto &[name, entry] : entries_) {
+        if (!listed.contains(name)) {
+            missing.push_back(name);
+        }
+    }
+    for (const auto &name : missing) {
+        remove(name, now);
+    }
+}
+
+void MemberDirectory::put(const MemberEntry &entry)
+{
+    entries_[entry.name] = entry;
+    vanished_.erase(entry.name);
+}
+
+void MemberDirectory::remove(const MemberName &name, TimePoint now)
+{
+    if (!entries_.contains(name)) {
+        return;
+    }
+    if (now >= trustedFrom_) {
+        entries_.erase(name);
+        vanished_.erase(name);
+        return;
+    }
+    vanished_.try_emplace(name, now);
+}
+
+void MemberDirectory::storeFailed(TimePoint now) noexcept
+{
+    trustedFrom_ = std::max(trustedFrom_, now + limits_.lapseGrace);
+}
+
+bool MemberDirectory::expire(TimePoint now)
+{
+    if (now < trustedFrom_ || vanished_.empty()) {
+        return false;
+    }
+    for (const auto &[name, since] : vanished_) {
+        entries_.erase(name);
+    }
+    vanished_.clear();
+    return true;
+}
+
+std::optional<TimePoint> MemberDirectory::nextExpiry() const noexcept
+{
+    return vanished_.empty() ? std::nullopt : std::optional<TimePoint>(trustedFrom_);
+}
+
+const MemberEntry *MemberDirectory::find(const MemberName &name) const
+{
+    const auto found = entries_.find(name);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<MemberEntry> MemberDirectory::membersOf(const GroupName &group) const
+{
+    std::vector<MemberEntry> members;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.group == group) {
+            members.push_back(entry);
+        }
+    }
+    return members;
+}
+
+} // namespace cardamomstep::relay
--- /dev/null
+++ b/src/relay/enginecallers.cpp
@@ -0,0 +1,267 @@
+// Callers' statements: which are answered at once, which wait, and what becomes of those that time runs out for.
+#include "relay/engine.h"
+
+#include <algorithm>
+
+namespace cardamomstep::relay {
+
+namespace {
+
+std::string outcomeOf(const CallerReply &reply)
+{
+    return reply.error ? std::string(answerRule(reply.error->kind).name) : "ok";
+}
+
+} // namespace
+
+Result<Success> Engine::callerOpened(CallerKey key, const DatabaseName &database, TimePoint now)
+{
+    if (!routes_.known()) {
+        return Error{ErrorKind::NotReady, "the configuration is not known yet"}.comingBackAfter(limits_.maxRetryAfter);
+    }
+    if (routes_.find(database) == nullptr) {
+        actions_.emplace_back(LogDecision{LogLevel::Info,
+                                          "session_refused",
+                                          {{"database", database.text()},
+                                           {"outcome", "unknown-service"},
+                                           {"configuration", static_cast<std::int64_t>(routes_.version())}}});
+        return Error{ErrorKind::UnknownService, database.text()};
+    }
+    auto &caller = callers_.emplace(key, Caller(database)).first->second;
+    caller.arrived = now;
+    return Success{};
+}
+
+void Engine::callerStatement(CallerKey key, const SessionStatement &statement, TimePoint now)
+{
+    const auto found = callers_.find(key);
+    if (found == callers_.end()) {
+        return;
+    }
+    auto &caller = found->second;
+    caller.statement = statement;
+    caller.arrived = now;
+    caller.attempts = 0;
+    caller.avoid.clear();
+    setTimer(key, caller, std::nullopt);
+    CallerReply reply;
+    const auto need = caller.session.take(statement, reply);
+    if (need == StatementNeed::EndAtMember) {
+        endTransaction(caller, now);
+    }
+    if (need != StatementNeed::Forward) {
+        answer(key, caller, std::move(reply), now);
+        return;
+    }
+    admit(key, caller, now);
+}
+
+/// Finds the statement's route and sends it on the link it already has, or lines it up for one.
+void Engine::admit(CallerKey key, Caller &caller, TimePoint now)
+{
+    if (caller.session.phase() == TransactionPhase::Open) {
+        caller.giveUpAt = now + caller.route.statementTimeout;
+        Group *group = nullptr;
+        MemberPool *pool = nullptr;
+        auto *link = findLink(caller.link, &group, &pool);
+        if (link == nullptr) {
+            fail(key, caller, Error{ErrorKind::TransactionAborted, "the connection was lost; the transaction is rolled back"}, now);
+            return;
+        }
+        sendStatement(caller, *link, std::nullopt, {}, now);
+        return;
+    }
+    const auto *route = routes_.find(caller.session.database());
+    if (route == nullptr) {
+        fail(key, caller, Error{ErrorKind::UnknownService, caller.session.database().text()}, now);
+        return;
+    }
+    caller.route = *route;
+    caller.freshFrom = now;
+    caller.giveUpAt = now + route->statementTimeout;
+    caller.group = route->group;
+    enqueue(key, caller, groups_[route->group], now);
+}
+
+void Engine::enqueue(CallerKey key, Caller &caller, Group &group, TimePoint now)
+{
+    caller.activity = Activity::Waiting;
+    if (serve(key, caller, group, now)) {
+        return;
+    }
+    if (group.waiting.size() >= limits_.maxWaiting) {
+        fail(key, caller, Error{ErrorKind::Overloaded, "too many statements wait for this group"}.comingBackAfter(comeBack(group)), now);
+        return;
+    }
+    const std::pair<TimePoint, CallerKey> place{caller.arrived + caller.route.latencyObjective, key};
+    group.waiting.insert(std::upper_bound(group.waiting.begin(), group.waiting.end(), place), place);
+    setTimer(key, caller, caller.giveUpAt);
+    openLinks(group, now);
+}
+
+void Engine::dequeue(CallerKey key, Caller &caller)
+{
+    auto &waiting = groups_[caller.group].waiting;
+    std::erase_if(waiting, [key](const auto &place) {
+        return place.second == key;
+    });
+}
+
+void Engine::answer(CallerKey key, Caller &caller, CallerReply reply, TimePoint now)
+{
+    if (caller.activity != Activity::Resting || reply.error) {
+        logOutcome(caller, outcomeOf(reply), now);
+    }
+    caller.activity = Activity::Resting;
+    const auto state = reply.state;
+    actions_.emplace_back(ReplyToCaller{key, std::move(reply)});
+    if (state != SessionState::Idle) {
+        auto due = now + routes_.transactionIdle();
+        if (drainUntil_) {
+            due = std::min(due, std::max(now, *drainUntil_));
+        }
+        setTimer(key, caller, due);
+        return;
+    }
+    setTimer(key, caller, std::nullopt);
+    if (drainUntil_) {
+        actions_.emplace_back(CloseCaller{key});
+    }
+}
+
+/// Answers the statement under way with \a error.
+void Engine::fail(CallerKey key, Caller &caller, Error error, TimePoint now)
+{
+    caller.session.failed(caller.statement);
+    if (caller.session.phase() != TransactionPhase::Open) {
+        endTransaction(caller, now);
+    }
+    CallerReply reply;
+    reply.error = std::move(error);
+    reply.state = caller.session.state();
+    answer(key, caller, std::move(reply), now);
+}
+
+void Engine::callerClosed(CallerKey key, TimePoint now)
+{
+    const auto found = callers_.find(key);
+    if (found == callers_.end()) {
+        return;
+    }
+    auto &caller = found->second;
+    if (caller.activity == Activity::Waiting) {
+        dequeue(key, caller);
+    }
+    endTransaction(caller, now);
+    setTimer(key, caller, std::nullopt);
+    callers_.erase(found);
+}
+
+/// Frees the caller's link: rolls back what is open, or leaves a statement under way to end on its own.
+void Engine::endTransaction(Caller &caller, TimePoint now)
+{
+    Group *group = nullptr;
+    MemberPool *pool = nullptr;
+    auto *link = findLink(std::exchange(caller.link, 0), &group, &pool);
+    if (link == nullptr) {
+        return;
+    }
+    const bool inTransaction = caller.activity == Activity::Beginning || caller.session.phase() != TransactionPhase::None
+        || caller.statement.kind == StatementKind::Rollback || caller.statement.kind == StatementKind::Commit;
+    link->caller = 0;
+    link->phase = LinkPhase::Winding;
+    link->since = now;
+    if (!inTransaction) {
+        return;
+    }
+    if (link->awaited.empty()) {
+        rollBack(*link, now);
+        return;
+    }
+    dropLink(link->key, *group, *pool);
+}
+
+void Engine::callerDue(CallerKey key, Caller &caller, TimePoint now)
+{
+    if (caller.activity == Activity::Resting) {
+        if (caller.session.phase() == TransactionPhase::Open || caller.session.phase() == TransactionPhase::Announced) {
+            caller.session.lost();
+            endTransaction(caller, now);
+            logOutcome(caller, "transaction-ended-idle", now);
+        }
+        if (drainUntil_ && now >= *drainUntil_) {
+            actions_.emplace_back(CloseCaller{key});
+        }
+        return;
+    }
+    if (caller.activity == Activity::Waiting) {
+        dequeue(key, caller);
+        auto &group = groups_[caller.group];
+        const bool noPrimary = needsPrimary(caller) && !group.primary.usable(now);
+        const auto kind = noPrimary ? ErrorKind::NoPrimary : ErrorKind::Overloaded;
+        fail(key, caller, Error{kind, "no connection became free in time"}.comingBackAfter(comeBack(group)), now);
+        return;
+    }
+    exchangeFailed(key, caller, ExchangeEnd::Silent, std::nullopt, now);
+}
+
+void Engine::setTimer(CallerKey key, Caller &caller, std::optional<TimePoint> at)
+{
+    if (caller.wakeAt) {
+        timers_.erase({*caller.wakeAt, key});
+    }
+    caller.wakeAt = at;
+    if (at) {
+        timers_.emplace(*at, key);
+    }
+}
+
+Stake Engine::stakeOf(const Caller &caller) const
+{
+    const auto &session = caller.session;
+    if (session.phase() == TransactionPhase::None) {
+        return session.writes(caller.statement) ? Stake::Write : Stake::Read;
+    }
+    if (caller.statement.kind == StatementKind::Commit) {
+        return session.wrote() ? Stake::CommitOfWrites : Stake::CommitOfReads;
+    }
+    return Stake::Inside;
+}
+
+/// True when only the primary can serve the statement, whatever the replicas hold.
+bool Engine::needsPrimary(const Caller &caller) const
+{
+    if (caller.route.consistency == Consistency::Current || caller.session.writes(caller.statement)) {
+        return true;
+    }
+    return caller.session.phase() != TransactionPhase::None && !caller.session.readOnlyTransaction();
+}
+
+/// When a refused caller should come back; spread, so that those refused together do not return together.
+Milliseconds Engine::comeBack(const Group &group)
+{
+    const auto load = Milliseconds{static_cast<std::int64_t>(group.waiting.size())};
+    const auto base = std::clamp(load, limits_.minRetryAfter, limits_.maxRetryAfter);
+    return base + Milliseconds{static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(base.count()) + 1))};
+}
+
+void Engine::logOutcome(const Caller &caller, std::string_view outcome, TimePoint now)
+{
+    const auto group = groups_.find(caller.group);
+    const bool known = group != groups_.end();
+    const auto link = links_.find(caller.link);
+    actions_.emplace_back(LogDecision{
+        LogLevel::Info,
+        "statement",
+        {{"id", caller.statement.id},
+         {"group", caller.group.text()},
+         {"member", link == links_.end() ? std::string("-") : link->second.second.text()},
+         {"outcome", outcome},
+         {"attempts", static_cast<std::int64_t>(caller.attempts)},
+         {"took_ms", static_cast<std::int64_t>(wholeMilliseconds(now - caller.arrived).count())},
+         {"configuration", static_cast<std::int64_t>(routes_.version())},
+         {"generation", known ? static_cast<std::int64_t>(group->second.primary.generation) : 0},
+         {"view_left_ms", known ? static_cast<std::int64_t>(wholeMilliseconds(group->second.primary.validUntil - now).count()) : 0}}});
+}
+
+} // namespace cardamomstep::relay
--- /dev/null
+++ b/src/relay/fwd.h
@@ -0,0 +1,18 @@
+// Forward declarations of the relay slice: callers' sessions, carried over lent connections to members.
+#pragma once
+
+namespace cardamomstep::relay {
+
+struct SessionStatement;
+struct CallerReply;
+struct MemberReply;
+struct MemberRequest;
+struct Route;
+struct MemberEntry;
+class RouteBook;
+class MemberDirectory;
+class CallerSession;
+class MemberPool;
+class Engine;
+
+} // namespace cardamomstep::relay
--- /dev/null
+++ b/src/relay/memberpool.h
@@ -0,0 +1,180 @@
+// Connections of this process to one member, with what each of them carries.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "connections/smoothedtime.h"
+#include "relay/directory.h"
+#include "relay/message.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamomstep::relay {
+
+/// What the reply to one request on a link is for.
+enum class ReplyPurpose : std::uint8_t {
+    Statement, ///< A caller's statement.
+    Begin, ///< Opens a caller's transaction; its statement follows.
+    Setup, ///< Lines the connection up with a session.
+    Rollback, ///< Ends a transaction of a caller that was answered already.
+    Probe, ///< Asks for the member's position.
+};
+
+/// One request that a member has not answered yet.
+struct AwaitedReply {
+    ReplyPurpose purpose = ReplyPurpose::Statement;
+    TimePoint sentAt;
+    /// When the connection counts as silent.
+    TimePoint silentAt;
+};
+
+/// Where a link stands.
+enum class LinkPhase : std::uint8_t {
+    Opening,
+    Idle,
+    Lent, ///< It serves one caller's statement or transaction.
+    Winding, ///< Its caller is gone; it becomes idle once all replies are in.
+};
+
+/// One connection to a member.
+struct Link {
+    LinkKey key = 0;
+    MemberName member;
+    GroupName group;
+    LinkPhase phase = LinkPhase::Opening;
+    /// The caller it is lent to; 0 for none.
+    CallerKey caller = 0;
+    /// When it entered its phase.
+    TimePoint since;
+    /// Session values that the member holds for this connection.
+    std::map<std::string, std::string> values;
+    /// Names that are prepared on this connection.
+    std::set<std::string> prepared;
+    std::deque<AwaitedReply> awaited;
+};
+
+/// Settings of a pool.
+struct MemberPoolLimits {
+    /// First and longest pause after a failed open or a broken connection.
+    Milliseconds firstPause{100};
+    Milliseconds longestPause{1'500};
+    /// Pause after the member refused a connection because of its limit.
+    Milliseconds limitPause{150};
+    /// An idle connection above the fair share is closed after this time.
+    Milliseconds surplusIdle{400};
+    /// Answer time of a member before any was measured.
+    Microseconds firstAnswerTime{25'000};
+};
+
+/// The links to one member and what was learned of it.
+class MemberPool
+{
+public:
+    explicit MemberPool(MemberEntry entry, const MemberPoolLimits &limits = {})
+        : limits_(limits)
+        , entry_(std::move(entry))
+        , answerTime_(limits.firstAnswerTime)
+    {
+    }
+
+    [[nodiscard]] const MemberEntry &entry() const noexcept
+    {
+        return entry_;
+    }
+    void setEntry(const MemberEntry &entry)
+    {
+        entry_ = entry;
+    }
+
+    /// Sets the fair share of the member's connections and how many may be held at most while others leave theirs unused.
+    void setAllowed(std::uint32_t fairShare, std::uint32_t most) noexcept
+    {
+        fairShare_ = fairShare;
+        most_ = most;
+    }
+
+    /// True when another connection may be opened at \a now.
+    [[nodiscard]] bool mayOpen(TimePoint now) const noexcept
+    {
+        return links_.size() < most_ && (links_.size() < fairShare_ || now >= surplusFrom_) && now >= pausedUntil_;
+    }
+
+    /// True when the member answered lately, or nothing speaks against it.
+    [[nodiscard]] bool usable(TimePoint now) const noexcept
+    {
+        return now >= pausedUntil_;
+    }
+
+    /// True when every connection that is allowed is open or being opened.
+    [[nodiscard]] bool exhausted() const noexcept
+    {
+        return links_.size() >= most_;
+    }
+
+    Link &add(LinkKey key, TimePoint now);
+    void remove(LinkKey key);
+    [[nodiscard]] Link *find(LinkKey key) noexcept;
+
+    /// The idle link that needs the least preparation for \a values; null when none is idle.
+    [[nodiscard]] Link *bestIdle(const std::map<std::string, std::string> &values) noexcept;
+
+    /// An idle link above the fair share that may be closed; 0 when there is none.
+    [[nodiscard]] LinkKey surplus(TimePoint now) const noexcept;
+
+    [[nodiscard]] std::uint32_t count(LinkPhase phase) const noexcept;
+    [[nodiscard]] std::uint32_t size() const noexcept
+    {
+        return static_cast<std::uint32_t>(links_.size());
+    }
+    [[nodiscard]] std::map<LinkKey, Link> &links() noexcept
+    {
+        return links_;
+    }
+    [[nodiscard]] const std::map<LinkKey, Link> &links() const noexcept
+    {
+        return links_;
+    }
+
+    /// Takes in an answer that took \a time.
+    void answered(Microseconds time, TimePoint now) noexcept;
+
+    /// Takes in that a connection broke, was silent or could not be opened.
+    void failed(TimePoint now) noexcept;
+
+    /// Takes in that the member refused a connection because of its limit.
+    void limitReached(TimePoint now) noexcept;
+
+    [[nodiscard]] const SmoothedTime &answerTime() const noexcept
+    {
+        return answerTime_;
+    }
+    [[nodiscard]] TimePoint lastAnswer() const noexcept
+    {
+        return lastAnswer_;
+    }
+
+    /// Position of the member's log as last told; replicas only.
+    Mark position;
+    /// Until when reads are kept away because the log lagged behind what they needed.
+    TimePoint laggingUntil;
+
+private:
+    MemberPoolLimits limits_;
+    MemberEntry entry_;
+    std::uint32_t fairShare_ = 1;
+    std::uint32_t most_ = 1;
+    std::map<LinkKey, Link> links_;
+    SmoothedTime answerTime_;
+    TimePoint lastAnswer_;
+    TimePoint pausedUntil_;
+    /// Connections above the fair share may be opened from here on.
+    TimePoint surplusFrom_;
+    std::uint32_t failures_ = 0;
+};
+
+} // namespace cardamomstep::relay
--- /dev/null
+++ b/src/relay/wire.h
@@ -0,0 +1,67 @@
+// What a wire format between callers, this process and members must offer.
+#pragma once
+
+#include "relay/message.h"
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace cardamomstep::relay {
+
+/// A caller opens its session.
+struct StartSession {
+    DatabaseName database;
+};
+
+/// A caller ends its session.
+struct EndSession {
+};
+
+/// A line that cannot be read.
+struct UnreadableLine {
+};
+
+/// One line of a caller.
+using CallerLine = std::variant<StartSession, SessionStatement, EndSession, UnreadableLine>;
+
+/// One line of a member.
+struct MemberRow {
+    std::string data;
+};
+struct MemberSuccess {
+    /// Empty when the member signed nothing.
+    std::string signature;
+};
+struct MemberError {
+    MemberFault fault = MemberFault::Unknown;
+};
+/// Ends each answer.
+struct MemberReady {
+    SessionState state = SessionState::Idle;
+    std::optional<Mark> position;
+};
+using MemberLine = std::variant<MemberRow, MemberSuccess, MemberError, MemberReady, UnreadableLine>;
+
+/// Translates lines to messages and back; a line comes without its end.
+template<typename Codec>
+concept WireCodec = requires(std::string &out,
+                             std::string_view line,
+                             const CallerReply &reply,
+                             const Error &error,
+                             const GroupName &group,
+                             const MemberName &member,
+                             const MemberRequest &request) {
+    { Codec::maxMessage } -> std::convertible_to<std::size_t>;
+    { Codec::parseCaller(line) } -> std::same_as<CallerLine>;
+    { Codec::parseMember(line) } -> std::same_as<MemberLine>;
+    Codec::appendReply(out, reply);
+    Codec::appendSessionReady(out);
+    Codec::appendRefusal(out, error);
+    Codec::appendMemberStart(out, group, member);
+    Codec::appendMemberRequest(out, request);
+};
+
+} // namespace cardamomstep::relay
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -4,6 +4,7 @@
 #include "http/address.h"
 #include "json/document.h"
 #include "json/reader.h"
+#include "settings/impl/fields.h"
 
 #include <array>
 #include <cstdint>
@@ -19,9 +20,8 @@
 
 using json::Length;
 using json::ObjectReader;
+using namespace settings::impl;
 
-constexpr Length nameLength{1, 63};
-constexpr Length addressLength{1, 64};
 constexpr Length pathLength{1, 4096};
 constexpr Length tokenLength{16, 256};
 constexpr Length seedCount{0, 4096};
@@ -38,40 +38,8 @@
 /// A silence must span this many heartbeats, so that one late heartbeat is no failure.
 constexpr int heartbeatsPerSilence = 2;
 
-constexpr std::array<std::pair<std::string_view, LogLevel>, 4> logLevels{
-    {{"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}}};
 constexpr std::array<std::pair<std::string_view, LogFormat>, 2> logFormats{{{"keyvalue", LogFormat::KeyValue}, {"json", LogFormat::Json}}};
 
-bool isName(const std::string &text)
-{
-    constexpr auto letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._";
-    return text.find_first_not_of(letters) == std::string::npos;
-}
-
-template<typename Id>
-Id readName(ObjectReader &reader, const std::string &key)
-{
-    auto text = reader.text(key, nameLength);
-    if (!isName(text)) {
-        reader.fault(key, "expected letters, digits, '-', '.' and '_'");
-    }
-    return Id{std::move(text)};
-}
-
-Address checkAddress(ObjectReader &reader, const std::string &key, std::string text)
-{
-    Address address{std::move(text)};
-    if (!address.empty() && !http::parseAddress(address)) {
-        reader.fault(key, "expected IP:port, got \"" + address.text() + "\"");
-    }
-    return address;
-}
-
-Address readAddress(ObjectReader &reader, const std::string &key)
-{
-    return checkAddress(reader, key, reader.text(key, addressLength));
-}
-
 std::string readPath(ObjectReader &reader, const std::string &key)
 {
     return reader.optionalText(key, pathLength).value_or(std::string());
--- /dev/null
+++ b/src/settings/sessionsettings.cpp
@@ -0,0 +1,75 @@
+// Reads the session proxy's settings.
+#include "settings/sessionsettings.h"
+
+#include "json/document.h"
+#include "settings/impl/fields.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace cardamomstep {
+
+namespace {
+
+using namespace settings::impl;
+
+constexpr std::int64_t maxGraceMs = 600'000;
+constexpr std::int64_t maxHeartbeatMs = 60'000;
+
+SessionListeners readListeners(ObjectReader reader)
+{
+    SessionListeners listen;
+    listen.callers = readAddress(reader, "callers");
+    listen.readiness = readAddress(reader, "readiness");
+    listen.peers = readAddress(reader, "peers");
+    const auto metrics = reader.optionalText("metrics", addressLength);
+    listen.metrics = metrics ? checkAddress(reader, "metrics", *metrics) : Address{};
+    return listen;
+}
+
+SessionSettings readAll(const nlohmann::json &value, std::vector<json::Fault> &faults)
+{
+    ObjectReader reader(value, "", faults);
+    SessionSettings settings;
+    settings.instance = readName<InstanceName>(reader, "instance");
+    settings.failureDomain = readName<FailureDomain>(reader, "failureDomain");
+    settings.listen = readListeners(reader.object("listen"));
+    settings.store = readAddress(reader, "store");
+    settings.promotions = readAddress(reader, "promotions");
+    settings.stopGrace = Milliseconds{reader.number<std::int64_t>("stopGraceMs", {0, maxGraceMs}, settings.stopGrace.count())};
+    settings.memberHeartbeat =
+        Milliseconds{reader.number<std::int64_t>("memberHeartbeatMs", {1, maxHeartbeatMs}, settings.memberHeartbeat.count())};
+    settings.logLevel = reader.oneOf<LogLevel>("logLevel", logLevels, settings.logLevel);
+    return settings;
+}
+
+} // namespace
+
+Checked<SessionSettings> readSessionSettings(const std::string &fileName, std::string_view text)
+{
+    const auto document = json::parseDocument(fileName, text, ErrorKind::InvalidSettings);
+    if (!document) {
+        return std::vector<Error>{document.error()};
+    }
+    std::vector<json::Fault> faults;
+    auto settings = readAll(document->value, faults);
+    auto errors = json::faultErrors(*document, ErrorKind::InvalidSettings, faults);
+    if (!errors.empty()) {
+        return errors;
+    }
+    return settings;
+}
+
+Checked<SessionSettings> readSessionSettingsFile(const std::string &fileName)
+{
+    std::ifstream file(fileName, std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    if (!file) {
+        Error error{ErrorKind::InvalidSettings, "the file cannot be read"};
+        error.position = SourcePosition{fileName, 0, {}};
+        return std::vector<Error>{std::move(error)};
+    }
+    return readSessionSettings(fileName, text);
+}
+
+} // namespace cardamomstep
--- /dev/null
+++ b/src/settings/sessionsettings.h
@@ -0,0 +1,53 @@
+// The settings of the session proxy, as plain values, and how they are read.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "json/checked.h"
+#include "settings/settings.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cardamomstep {
+
+/// Where the session proxy listens.
+struct SessionListeners {
+    /// Callers' sessions.
+    Address callers;
+    /// Readiness probe.
+    Address readiness;
+    /// Other proxies, over gRPC.
+    Address peers;
+    /// Metrics page; not served when empty.
+    Address metrics;
+
+    [[nodiscard]] bool operator==(const SessionListeners &) const = default;
+};
+
+/// All settings of one session proxy.
+struct SessionSettings {
+    InstanceName instance;
+    FailureDomain failureDomain;
+    SessionListeners listen;
+    /// The platform's store.
+    Address store;
+    /// The service that makes a member the primary.
+    Address promotions;
+    /// Time from the request to stop until the process is killed.
+    Milliseconds stopGrace{6000};
+    /// Time between two signs of life of a member in the store.
+    Milliseconds memberHeartbeat{1200};
+    LogLevel logLevel = LogLevel::Info;
+
+    [[nodiscard]] bool operator==(const SessionSettings &) const = default;
+};
+
+/// Reads settings from JSON; keys that are not known are ignored, since newer platforms may bring some.
+[[nodiscard]] Checked<SessionSettings> readSessionSettings(const std::string &fileName, std::string_view text);
+
+/// Reads the settings file \a fileName.
+[[nodiscard]] Checked<SessionSettings> readSessionSettingsFile(const std::string &fileName);
+
+} // namespace cardamomstep
