--- /dev/null
+++ b/src/fleet/impl/fleetcodec.cpp
@@ -0,0 +1,124 @@
+// Field by field between plain values and generated messages.
+#include "fleet/impl/fleetcodec.h"
+
+namespace cardamomstep::fleet::impl {
+
+namespace {
+
+void fill(wire::Position &message, const Mark &mark)
+{
+    message.set_term(mark.term.number);
+    message.set_number(mark.position);
+}
+
+Mark markOf(const wire::Position &message)
+{
+    return Mark{Term{message.term(), 0}, message.number()};
+}
+
+void fill(wire::Record &message, const leadership::GroupRecord &record)
+{
+    message.set_group(record.group.text());
+    message.set_primary(record.primary.text());
+    message.set_generation(record.generation);
+    message.set_moving(record.moving);
+    message.set_revision(record.revision.value);
+}
+
+leadership::GroupRecord recordOf(const wire::Record &message)
+{
+    leadership::GroupRecord record;
+    record.group = GroupName{message.group()};
+    record.primary = MemberName{message.primary()};
+    record.generation = message.generation();
+    record.moving = message.moving();
+    record.revision = Revision{message.revision()};
+    return record;
+}
+
+} // namespace
+
+wire::RenewRequest encode(const RenewRequest &request)
+{
+    wire::RenewRequest message;
+    message.set_instance(request.instance.text());
+    for (const auto &sighting : request.sightings) {
+        auto &entry = *message.add_sightings();
+        entry.set_group(sighting.group.text());
+        entry.set_generation(sighting.generation);
+        entry.set_since_answer_ms(sighting.sinceAnswer ? sighting.sinceAnswer->count() : -1);
+        entry.set_writes_stalled_ms(sighting.writesStalled.count());
+        fill(*entry.mutable_acknowledged(), sighting.acknowledged);
+    }
+    return message;
+}
+
+RenewRequest decode(const wire::RenewRequest &message)
+{
+    RenewRequest request;
+    request.instance = InstanceName{message.instance()};
+    for (const auto &entry : message.sightings()) {
+        leadership::PrimarySighting sighting;
+        sighting.group = GroupName{entry.group()};
+        sighting.generation = entry.generation();
+        if (entry.since_answer_ms() >= 0) {
+            sighting.sinceAnswer = Milliseconds{entry.since_answer_ms()};
+        }
+        sighting.writesStalled = Milliseconds{entry.writes_stalled_ms()};
+        sighting.acknowledged = markOf(entry.acknowledged());
+        request.sightings.push_back(std::move(sighting));
+    }
+    return request;
+}
+
+wire::RenewReply encode(const RenewReply &reply)
+{
+    wire::RenewReply message;
+    message.set_granted(reply.granted);
+    message.set_holder(reply.holder.text());
+    message.set_live_proxies(reply.liveProxies);
+    for (const auto &record : reply.records) {
+        fill(*message.add_records(), record);
+    }
+    return message;
+}
+
+RenewReply decode(const wire::RenewReply &message)
+{
+    RenewReply reply;
+    reply.granted = message.granted();
+    reply.holder = InstanceName{message.holder()};
+    reply.liveProxies = message.live_proxies();
+    for (const auto &record : message.records()) {
+        reply.records.push_back(recordOf(record));
+    }
+    return reply;
+}
+
+wire::AnnounceRequest encode(const Announcement &announcement)
+{
+    wire::AnnounceRequest message;
+    fill(*message.mutable_record(), announcement.record);
+    message.set_drain_ms(announcement.drain.count());
+    return message;
+}
+
+Announcement decode(const wire::AnnounceRequest &message)
+{
+    return {recordOf(message.record()), Milliseconds{message.drain_ms()}};
+}
+
+wire::AnnounceReply encode(const HoldReply &reply)
+{
+    wire::AnnounceReply message;
+    fill(*message.mutable_acknowledged(), reply.acknowledged);
+    message.set_uptime_ms(reply.uptime.count());
+    return message;
+}
+
+HoldReply decode(const wire::AnnounceReply &message)
+{
+    return {markOf(message.acknowledged()), Milliseconds{message.uptime_ms()}};
+}
+
+} // namespace cardamomstep::fleet::impl
--- /dev/null
+++ b/src/fleet/impl/fleetcodec.h
@@ -0,0 +1,20 @@
+// Plain values to and from the generated messages.
+#pragma once
+
+#include "fleet/generated/fleet.pb.h"
+#include "fleet/messages.h"
+
+namespace cardamomstep::fleet::impl {
+
+namespace wire = cardamomstep::fleet::v1;
+
+[[nodiscard]] wire::RenewRequest encode(const RenewRequest &request);
+[[nodiscard]] RenewRequest decode(const wire::RenewRequest &message);
+[[nodiscard]] wire::RenewReply encode(const RenewReply &reply);
+[[nodiscard]] RenewReply decode(const wire::RenewReply &message);
+[[nodiscard]] wire::AnnounceRequest encode(const Announcement &announcement);
+[[nodiscard]] Announcement decode(const wire::AnnounceRequest &message);
+[[nodiscard]] wire::AnnounceReply encode(const HoldReply &reply);
+[[nodiscard]] HoldReply decode(const wire::AnnounceReply &message);
+
+} // namespace cardamomstep::fleet::impl
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -1,10 +1,12 @@
 // The session proxy: one event loop that performs the relay's actions and reports what came of them.
 #pragma once
 
+#include "base/hash.h"
 #include "evloop/clock.h"
 #include "evloop/httpserver.h"
 #include "gateway/callerlink.h"
 #include "gateway/follower.h"
+#include "gateway/leadershell.h"
 #include "gateway/memberlink.h"
 #include "logging/boundedlog.h"
 #include "metrics/metrics.h"
@@ -32,8 +34,8 @@
     Milliseconds acceptAfterStop{2500};
 };
 
-/// One process on the platform; \a Wire is the line format, \a Store the store's interface.
-template<relay::WireCodec Wire, typename Store>
+/// One process on the platform; \a Wire is the line format, \a Store and \a Promoter the platform's services.
+template<relay::WireCodec Wire, typename Store, typename Promoter>
 class SessionProxy
 {
 public:
@@ -42,7 +44,8 @@
         , settings_(settings)
         , settingsFile_(std::move(settingsFile))
         , log_(1, settings.logLevel, settings.instance.text())
-        , engine_(settings.failureDomain, stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count())))
+        , engine_(settings.failureDomain, seedOf(settings))
+        , leadership_(loop, settings, seedOf(settings), leaderHost())
         , acceptor_(loop)
         , wakeTimer_(loop)
         , logTimer_(loop)
@@ -68,7 +71,7 @@
         followMembers();
         scheduleLog();
         perform();
-        return Success{};
+        return leadership_.start();
     }
 
     /// Reads the settings file again; what can change while running is taken over.
@@ -95,6 +98,7 @@
         const auto now = evloop::bootTimeNow();
         stoppingSince_ = now;
         log(LogLevel::Info, "stop", {{"sessions", static_cast<std::int64_t>(engine_.callers())}});
+        leadership_.leave();
         engine_.drain(now + settings_.stopGrace / 2, now);
         perform();
         checkStopped();
@@ -104,6 +108,21 @@
     using Caller = CallerLink<Wire>;
     using Member = MemberLink<Wire>;
 
+    static std::uint64_t seedOf(const SessionSettings &settings)
+    {
+        return stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count()));
+    }
+
+    LeaderHost leaderHost()
+    {
+        const auto write = [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
+            log(level, event, fields);
+        };
+        return LeaderHost{engine_, directory_, write, [this] {
+                              perform();
+                          }};
+    }
+
     void log(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
     {
         log_.write(level, event, fields, evloop::bootTimeNow());
@@ -129,7 +148,7 @@
 
     [[nodiscard]] bool ready() const
     {
-        return !engine_.draining() && engine_.routes().known() && membersKnown_;
+        return !engine_.draining() && engine_.routes().known() && membersKnown_ && leadership_.viewCurrent(evloop::bootTimeNow());
     }
 
     void accept()
@@ -291,16 +310,7 @@
     {
         const auto now = evloop::bootTimeNow();
         engine_.setMembers(directory_, now);
-        for (const auto &[name, config] : engine_.routes().groups()) {
-            relay::PrimaryBelief belief;
-            belief.validUntil = TimePoint::max();
-            for (const auto &member : directory_.membersOf(name)) {
-                if (member.claimsPrimary) {
-                    belief.member = member.name;
-                }
-            }
-            engine_.setPrimary(name, belief, now);
-        }
+        leadership_.membersChanged();
         perform();
     }
 
@@ -463,6 +473,7 @@
             "stopped",
             {{"sessions", static_cast<std::int64_t>(engine_.callers())}, {"after_ms", static_cast<std::int64_t>(wholeMilliseconds(since).count())}});
         log_.flush();
+        leadership_.stop();
         loop_.stop();
     }
 
@@ -474,6 +485,7 @@
     Metrics metrics_;
     relay::Engine engine_;
     relay::MemberDirectory directory_;
+    LeaderShell<Wire, Store, Promoter> leadership_;
     bool membersKnown_ = false;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<evloop::HttpServer> readiness_;
--- /dev/null
+++ b/src/leadership/lease.cpp
@@ -0,0 +1,71 @@
+// Taking, renewing and losing the lease.
+#include "leadership/lease.h"
+
+namespace cardamomstep::leadership {
+
+void HolderLease::observe(const std::optional<LeaseState> &state, TimePoint now)
+{
+    const bool older = state && state_ && state->revision < state_->revision;
+    if (older) {
+        return;
+    }
+    const bool changed = !observed_ || state != state_;
+    observed_ = true;
+    if (!changed) {
+        return;
+    }
+    state_ = state;
+    seenSince_ = now;
+    contention_ = Milliseconds{static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(limits_.contention.count()) + 1))};
+    if (held_ && (!state || state->holder != self_)) {
+        held_ = false;
+    }
+}
+
+std::optional<LeaseWrite> HolderLease::next(TimePoint now)
+{
+    if (!observed_ || writing_ || resigned_ || now < pausedUntil_) {
+        return std::nullopt;
+    }
+    if (held_) {
+        if (now - renewedAt_ < limits_.renewal) {
+            return std::nullopt;
+        }
+        writing_ = true;
+        return LeaseWrite{state_->revision, fence_};
+    }
+    // A lease in this process' own name belongs to an earlier process of this instance, which is gone.
+    const bool own = state_ && state_->holder == self_;
+    const bool free = !state_ || state_->holder.empty();
+    const bool expired = state_ && now - seenSince_ >= limits_.duration + contention_;
+    if (!own && !(free && now - seenSince_ >= contention_) && !expired) {
+        return std::nullopt;
+    }
+    writing_ = true;
+    return LeaseWrite{state_ ? state_->revision : Revision{}, 0};
+}
+
+void HolderLease::written(Revision revision, TimePoint begun, TimePoint now)
+{
+    writing_ = false;
+    if (!held_) {
+        held_ = true;
+        takenAt_ = now;
+        fence_ = revision.value;
+    }
+    renewedAt_ = begun;
+    validUntil_ = begun + limits_.duration - limits_.margin;
+    state_ = LeaseState{self_, fence_, revision};
+    seenSince_ = now;
+}
+
+void HolderLease::writeFailed(bool conflict, TimePoint now)
+{
+    writing_ = false;
+    pausedUntil_ = now + limits_.retryPause;
+    if (conflict) {
+        held_ = false;
+    }
+}
+
+} // namespace cardamomstep::leadership
--- /dev/null
+++ b/src/leadership/lease.h
@@ -0,0 +1,134 @@
+// The lease of the one proxy that may order promotions, kept in the platform's store.
+#pragma once
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "store/object.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace cardamomstep::leadership {
+
+/// Settings of the lease.
+struct LeaseLimits {
+    /// How long a holder that is not heard of keeps the lease; longer than the outages of the store that service should survive.
+    Milliseconds duration{7000};
+    /// Time between two renewals.
+    Milliseconds renewal{1500};
+    /// Part of the duration that the holder itself does not use, for clocks that run at different speeds.
+    Milliseconds margin{300};
+    /// Longest random wait before a free lease is taken, so that few proxies try at once.
+    Milliseconds contention{250};
+    /// Pause after an attempt without a clear answer.
+    Milliseconds retryPause{500};
+};
+
+/// What the stored lease says.
+struct LeaseState {
+    /// Empty when the lease was given back.
+    InstanceName holder;
+    /// Revision at which the present holder took the lease: its fencing token.
+    std::uint64_t fence = 0;
+    Revision revision;
+
+    [[nodiscard]] bool operator==(const LeaseState &) const = default;
+};
+
+/// Write the lease with this process as holder if it is still at `expected` (0: it must not exist).
+struct LeaseWrite {
+    Revision expected;
+    /// Keep this fencing token; 0 asks for the revision of this very write.
+    std::uint64_t fence = 0;
+};
+
+/// Decides when to take, renew and give back the lease.
+///
+/// Invariant: while holds(now) is true, no other proxy can have taken the lease.
+class HolderLease
+{
+public:
+    HolderLease(InstanceName self, std::uint64_t seed, const LeaseLimits &limits = {})
+        : self_(std::move(self))
+        , limits_(limits)
+        , random_(seed)
+    {
+    }
+
+    /// Takes in the stored lease as read at \a now, or that there is none.
+    void observe(const std::optional<LeaseState> &state, TimePoint now);
+
+    /// The write to make at \a now, if any; report it by written() or writeFailed().
+    [[nodiscard]] std::optional<LeaseWrite> next(TimePoint now);
+
+    /// Takes in the success of a write that was begun at \a begun.
+    void written(Revision revision, TimePoint begun, TimePoint now);
+
+    /// Takes in that a write failed; \a conflict when another version is stored.
+    void writeFailed(bool conflict, TimePoint now);
+
+    /// Gives the lease up: it is not taken again by this process.
+    void resign() noexcept
+    {
+        resigned_ = true;
+    }
+
+    /// True while this process holds the lease for certain.
+    [[nodiscard]] bool holds(TimePoint now) const noexcept
+    {
+        return held_ && now < validUntil_;
+    }
+
+    /// Until when holds() stays true without a renewal.
+    [[nodiscard]] TimePoint validUntil() const noexcept
+    {
+        return held_ ? validUntil_ : TimePoint{};
+    }
+
+    /// When this process took the lease.
+    [[nodiscard]] TimePoint takenAt() const noexcept
+    {
+        return takenAt_;
+    }
+
+    /// The fencing token; only while the lease is held.
+    [[nodiscard]] std::uint64_t fence() const noexcept
+    {
+        return fence_;
+    }
+
+    /// Revision of the stored lease as last known.
+    [[nodiscard]] Revision revision() const noexcept
+    {
+        return state_ ? state_->revision : Revision{};
+    }
+
+    /// The holder as last known; empty when there is none.
+    [[nodiscard]] InstanceName holder() const
+    {
+        return state_ ? state_->holder : InstanceName{};
+    }
+
+private:
+    InstanceName self_;
+    LeaseLimits limits_;
+    Random random_;
+    /// The stored lease as last seen.
+    std::optional<LeaseState> state_;
+    bool observed_ = false;
+    /// When state_ was first seen at its revision.
+    TimePoint seenSince_;
+    /// Random wait before the lease is taken; drawn anew for each revision.
+    Milliseconds contention_{0};
+    bool held_ = false;
+    bool writing_ = false;
+    bool resigned_ = false;
+    std::uint64_t fence_ = 0;
+    TimePoint takenAt_;
+    TimePoint validUntil_;
+    TimePoint renewedAt_;
+    TimePoint pausedUntil_;
+};
+
+} // namespace cardamomstep::leadership
--- /dev/null
+++ b/src/leadership/recordjson.cpp
@@ -0,0 +1,95 @@
+// Names and fields of the fleet's objects.
+#include "leadership/recordjson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cardamomstep::leadership {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view recordPrefix = "group.";
+constexpr std::string_view proxyPrefix = "proxy.";
+constexpr std::string_view leaseName = "lease";
+
+std::string textOf(const Json &value, const char *key)
+{
+    const auto found = value.find(key);
+    return found != value.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::uint64_t numberOf(const Json &value, const char *key)
+{
+    const auto found = value.find(key);
+    return found != value.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+ObjectKind fleetKind()
+{
+    return ObjectKind{"fleet"};
+}
+
+ObjectKey leaseKey()
+{
+    return {fleetKind(), ObjectName{std::string(leaseName)}};
+}
+
+ObjectKey recordKey(const GroupName &group)
+{
+    return {fleetKind(), ObjectName{std::string(recordPrefix) + group.text()}};
+}
+
+ObjectKey proxyKey(const InstanceName &instance)
+{
+    return {fleetKind(), ObjectName{std::string(proxyPrefix) + instance.text()}};
+}
+
+std::string encode(const GroupRecord &record)
+{
+    return Json{{"primary", record.primary.text()}, {"generation", record.generation}, {"moving", record.moving}}.dump();
+}
+
+std::string encodeLease(const InstanceName &holder, std::uint64_t fence)
+{
+    return Json{{"holder", holder.text()}, {"fence", fence}}.dump();
+}
+
+std::string encode(const ProxyEntry &entry)
+{
+    return Json{{"address", entry.address.text()}}.dump();
+}
+
+FleetObject decodeFleetObject(const StoredObject &object)
+{
+    const auto value = Json::parse(object.value, nullptr, false);
+    const std::string_view name = object.name.text();
+    if (value.is_discarded() || !value.is_object()) {
+        return std::monostate{};
+    }
+    if (name == leaseName) {
+        LeaseState lease;
+        lease.holder = InstanceName{textOf(value, "holder")};
+        lease.revision = object.version;
+        const auto fence = numberOf(value, "fence");
+        lease.fence = fence == 0 ? object.version.value : fence;
+        return lease;
+    }
+    if (name.starts_with(recordPrefix)) {
+        GroupRecord record;
+        record.group = GroupName{std::string(name.substr(recordPrefix.size()))};
+        record.primary = MemberName{textOf(value, "primary")};
+        record.generation = numberOf(value, "generation");
+        record.moving = value.value("moving", Json(false)) == Json(true);
+        record.revision = object.version;
+        return record;
+    }
+    if (name.starts_with(proxyPrefix)) {
+        return ProxyEntry{InstanceName{std::string(name.substr(proxyPrefix.size()))}, Address{textOf(value, "address")}};
+    }
+    return std::monostate{};
+}
+
+} // namespace cardamomstep::leadership
--- /dev/null
+++ b/src/leadership/recordjson.h
@@ -0,0 +1,38 @@
+// The fleet's own objects in the store: group records, the lease and the proxies' entries.
+#pragma once
+
+#include "base/ids.h"
+#include "leadership/lease.h"
+#include "leadership/record.h"
+#include "store/object.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace cardamomstep::leadership {
+
+/// A proxy as it registered itself.
+struct ProxyEntry {
+    InstanceName instance;
+    /// Where other proxies reach it.
+    Address address;
+};
+
+/// Kind of all objects of the fleet.
+[[nodiscard]] ObjectKind fleetKind();
+
+[[nodiscard]] ObjectKey leaseKey();
+[[nodiscard]] ObjectKey recordKey(const GroupName &group);
+[[nodiscard]] ObjectKey proxyKey(const InstanceName &instance);
+
+[[nodiscard]] std::string encode(const GroupRecord &record);
+/// The lease as written by \a holder; \a fence 0 stands for the revision of the write itself.
+[[nodiscard]] std::string encodeLease(const InstanceName &holder, std::uint64_t fence);
+[[nodiscard]] std::string encode(const ProxyEntry &entry);
+
+/// What one object of the fleet says; monostate when it cannot be read.
+using FleetObject = std::variant<std::monostate, GroupRecord, LeaseState, ProxyEntry>;
+[[nodiscard]] FleetObject decodeFleetObject(const StoredObject &object);
+
+} // namespace cardamomstep::leadership
--- /dev/null
+++ b/src/leadership/viewbook.h
@@ -0,0 +1,47 @@
+// What this proxy may believe of the groups' primaries, and until when.
+#pragma once
+
+#include "leadership/record.h"
+#include "relay/primarybelief.h"
+
+#include <map>
+#include <vector>
+
+namespace cardamomstep::leadership {
+
+/// The records as this proxy knows them, with the lease of its view.
+///
+/// A view is renewed by the lease holder's word or by a linearizable read of the store; either is good for `viewLease` from the moment
+/// it was asked for. A record never goes back to an older revision.
+class ViewBook
+{
+public:
+    /// Takes in one record; false when a newer one is known.
+    bool accept(const GroupRecord &record);
+
+    /// Takes in that all \a records were current at some moment after \a askedAt; records that are older than known are left out.
+    void renew(const std::vector<GroupRecord> &records, TimePoint askedAt);
+
+    [[nodiscard]] const GroupRecord *find(const GroupName &group) const;
+
+    [[nodiscard]] relay::PrimaryBelief belief(const GroupName &group) const;
+
+    /// The latest end of any group's view.
+    [[nodiscard]] TimePoint validUntil() const noexcept
+    {
+        return newest_;
+    }
+
+    [[nodiscard]] std::vector<GroupRecord> all() const;
+
+private:
+    struct Entry {
+        GroupRecord record;
+        TimePoint validUntil;
+    };
+
+    std::map<GroupName, Entry> entries_;
+    TimePoint newest_;
+};
+
+} // namespace cardamomstep::leadership
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -79,6 +79,30 @@
     }
 }
 
+std::size_t Engine::lastingInFlight(const GroupName &name) const
+{
+    return static_cast<std::size_t>(std::count_if(callers_.begin(), callers_.end(), [&name](const auto &entry) {
+        const auto &caller = entry.second;
+        const bool running = caller.activity == Activity::Running && caller.session.writes(caller.statement);
+        return caller.group == name && caller.link != 0 && caller.atPrimary && (running || caller.session.wrote());
+    }));
+}
+
+void Engine::seal(const GroupName &name, TimePoint now)
+{
+    for (auto &[key, caller] : callers_) {
+        if (caller.group != name || caller.link == 0 || !caller.atPrimary) {
+            continue;
+        }
+        if (caller.activity != Activity::Resting) {
+            caller.sealed = true;
+        } else if (caller.session.phase() == TransactionPhase::Open && !caller.session.readOnlyTransaction()) {
+            caller.session.lost();
+            endTransaction(caller, now);
+        }
+    }
+}
+
 void Engine::setLiveProxies(std::uint32_t count, TimePoint now)
 {
     if (count == liveProxies_ || count == 0) {
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -42,6 +42,10 @@
     Milliseconds transactionPatience{400};
     /// Answer times, smoothed, after which an answer counts as late.
     double lateFactor = 6.0;
+    /// How long a session that was opened while stopping may rest before its first statement.
+    Milliseconds stoppingRest{400};
+    /// A transaction that could not end in this time is not begun while stopping.
+    Milliseconds stoppingTransaction{1000};
     /// How long a replica that lagged gets no reads that it was not proved to hold.
     Milliseconds laggingPause{60};
     /// Time between two sightings of the primary's position where statements do not bring any.
@@ -75,6 +79,10 @@
     void configure(const Configuration &configuration, TimePoint now);
     void setMembers(const MemberDirectory &directory, TimePoint now);
     void setPrimary(const GroupName &group, const PrimaryBelief &belief, TimePoint now);
+    /// Statements in flight at the group's primary that may have lasting effects, and open transactions there that wrote.
+    [[nodiscard]] std::size_t lastingInFlight(const GroupName &group) const;
+    /// Ends what is still open at the group's primary: nothing that it answers from now on counts as acknowledged.
+    void seal(const GroupName &group, TimePoint now);
     /// Sets how many proxies share the members' connections, this one included.
     void setLiveProxies(std::uint32_t count, TimePoint now);
 
@@ -157,6 +165,8 @@
         TimePoint sentAt;
         /// The statement went to the primary.
         bool atPrimary = false;
+        /// Its primary was sealed: a lasting answer is not told as success, and its transaction ends.
+        bool sealed = false;
         /// When something is due; see timers_.
         std::optional<TimePoint> wakeAt;
     };
@@ -182,6 +192,8 @@
     void dequeue(CallerKey key, Caller &caller);
     void answer(CallerKey key, Caller &caller, CallerReply reply, TimePoint now);
     void fail(CallerKey key, Caller &caller, Error error, TimePoint now);
+    [[nodiscard]] bool refusedWhileStopping(const Caller &caller, TimePoint now) const;
+    void restingDue(CallerKey key, Caller &caller, TimePoint now);
     void callerDue(CallerKey key, Caller &caller, TimePoint now);
     void endTransaction(Caller &caller, TimePoint now);
     void setTimer(CallerKey key, Caller &caller, std::optional<TimePoint> at);
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -29,6 +29,9 @@
     }
     auto &caller = callers_.emplace(key, Caller(database)).first->second;
     caller.arrived = now;
+    if (drainUntil_) {
+        setTimer(key, caller, now + limits_.stoppingRest);
+    }
     return Success{};
 }
 
@@ -44,6 +47,10 @@
     caller.attempts = 0;
     caller.avoid.clear();
     setTimer(key, caller, std::nullopt);
+    if (refusedWhileStopping(caller, now)) {
+        fail(key, caller, Error{ErrorKind::Draining, "this proxy is stopping"}.comingBackAfter(limits_.minRetryAfter), now);
+        return;
+    }
     CallerReply reply;
     const auto need = caller.session.take(statement, reply);
     if (need == StatementNeed::EndAtMember) {
@@ -56,6 +63,13 @@
     admit(key, caller, now);
 }
 
+/// True for the begin of a transaction that would be cut by the end of this process.
+bool Engine::refusedWhileStopping(const Caller &caller, TimePoint now) const
+{
+    const bool begins = caller.statement.kind == StatementKind::Begin && caller.session.phase() == TransactionPhase::None;
+    return begins && drainUntil_ && now + limits_.stoppingTransaction >= *drainUntil_;
+}
+
 /// Finds the statement's route and sends it on the link it already has, or lines it up for one.
 void Engine::admit(CallerKey key, Caller &caller, TimePoint now)
 {
@@ -64,8 +78,8 @@
         Group *group = nullptr;
         MemberPool *pool = nullptr;
         auto *link = findLink(caller.link, &group, &pool);
-        if (link == nullptr) {
-            fail(key, caller, Error{ErrorKind::TransactionAborted, "the connection was lost; the transaction is rolled back"}, now);
+        if (link == nullptr || caller.sealed) {
+            fail(key, caller, Error{ErrorKind::TransactionAborted, "its connection or its primary was lost; it is rolled back"}, now);
             return;
         }
         sendStatement(caller, *link, std::nullopt, {}, now);
@@ -78,6 +92,7 @@
     }
     caller.route = *route;
     caller.freshFrom = now;
+    caller.sealed = false;
     caller.giveUpAt = now + route->statementTimeout;
     caller.group = route->group;
     enqueue(key, caller, groups_[route->group], now);
@@ -172,6 +187,9 @@
     link->phase = LinkPhase::Winding;
     link->since = now;
     if (!inTransaction) {
+        if (link->awaited.empty()) {
+            release(*link, *group, now);
+        }
         return;
     }
     if (link->awaited.empty()) {
@@ -181,17 +199,24 @@
     dropLink(link->key, *group, *pool);
 }
 
+/// Ends the transaction of a caller that rests for too long, or the session of one that rests while this process stops.
+void Engine::restingDue(CallerKey key, Caller &caller, TimePoint now)
+{
+    const auto phase = caller.session.phase();
+    if (phase == TransactionPhase::Open || phase == TransactionPhase::Announced) {
+        caller.session.lost();
+        endTransaction(caller, now);
+        logOutcome(caller, "transaction-ended-idle", now);
+    }
+    if (drainUntil_ && phase == TransactionPhase::None) {
+        actions_.emplace_back(CloseCaller{key});
+    }
+}
+
 void Engine::callerDue(CallerKey key, Caller &caller, TimePoint now)
 {
     if (caller.activity == Activity::Resting) {
-        if (caller.session.phase() == TransactionPhase::Open || caller.session.phase() == TransactionPhase::Announced) {
-            caller.session.lost();
-            endTransaction(caller, now);
-            logOutcome(caller, "transaction-ended-idle", now);
-        }
-        if (drainUntil_ && now >= *drainUntil_) {
-            actions_.emplace_back(CloseCaller{key});
-        }
+        restingDue(key, caller, now);
         return;
     }
     if (caller.activity == Activity::Waiting) {
--- a/src/relay/enginelinks.cpp
+++ b/src/relay/enginelinks.cpp
@@ -53,8 +53,9 @@
     }
     const auto awaited = link->awaited.front();
     link->awaited.pop_front();
+    pool->heard(now);
     if (awaited.purpose == ReplyPurpose::Statement) {
-        pool->answered(now - awaited.sentAt, now);
+        pool->answered(now - awaited.sentAt);
     }
     learnPosition(*group, *pool, *link, awaited, reply, now);
     if (awaited.purpose == ReplyPurpose::Setup && reply.fault) {
@@ -112,6 +113,10 @@
     auto &caller = callers_.at(key);
     const auto stake = stakeOf(caller);
     const bool lasting = stake == Stake::Write || stake == Stake::CommitOfWrites;
+    if (lasting && caller.sealed && !reply.fault) {
+        exchangeFailed(key, caller, ExchangeEnd::Broken, std::nullopt, now);
+        return;
+    }
     if (reply.fault || reply.signature.empty()) {
         const auto fault = reply.fault.value_or(MemberFault::Unknown);
         if (fault == MemberFault::Lagging) {
--- a/src/relay/memberpool.cpp
+++ b/src/relay/memberpool.cpp
@@ -81,13 +81,6 @@
     }));
 }
 
-void MemberPool::answered(Microseconds time, TimePoint now) noexcept
-{
-    answerTime_.observe(time);
-    lastAnswer_ = now;
-    failures_ = 0;
-}
-
 void MemberPool::failed(TimePoint now) noexcept
 {
     const auto doubled = limits_.firstPause * (1U << std::min(failures_, 5U));
--- a/src/relay/memberpool.h
+++ b/src/relay/memberpool.h
@@ -140,8 +140,18 @@
         return links_;
     }
 
-    /// Takes in an answer that took \a time.
-    void answered(Microseconds time, TimePoint now) noexcept;
+    /// Takes in any sign of life.
+    void heard(TimePoint now) noexcept
+    {
+        lastAnswer_ = now;
+        failures_ = 0;
+    }
+
+    /// Takes in that a statement was answered after \a time.
+    void answered(Microseconds time) noexcept
+    {
+        answerTime_.observe(time);
+    }
 
     /// Takes in that a connection broke, was silent or could not be opened.
     void failed(TimePoint now) noexcept;
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -111,6 +111,17 @@
     ExecutePrepared, ///< The caller's statement with the prepared name replaced.
     ResetSession, ///< Drops all values and prepared names of the connection.
     Status,
+    Pause, ///< Stop replication; `text` is the term.
+    Resume, ///< Go on with replication.
+    Demote, ///< Stop leading; `text` is the term.
+};
+
+/// A member's own account of itself.
+struct MemberAccount {
+    bool primary = false;
+    std::uint64_t term = 0;
+    /// End of the log that it has received.
+    Mark received;
 };
 
 /// One request to a member.
--- /dev/null
+++ b/tests/leadership/test_leadership.cpp
@@ -0,0 +1,135 @@
+// Tests of the lease, the view book and the suspicion of primaries.
+#include "leadership/lease.h"
+#include "leadership/recordjson.h"
+#include "leadership/suspicion.h"
+#include "leadership/viewbook.h"
+
+#include <criterion/criterion.h>
+
+using namespace cardamomstep;
+using namespace cardamomstep::leadership;
+
+namespace {
+
+TimePoint at(std::int64_t milliseconds)
+{
+    return TimePoint{Milliseconds{1'000'000 + milliseconds}};
+}
+
+GroupRecord record(const std::string &primary, std::uint64_t generation, std::uint64_t revision, bool moving = false)
+{
+    return {GroupName{"g"}, MemberName{primary}, generation, moving, Revision{revision}};
+}
+
+} // namespace
+
+Test(leadership, aFreeLeaseIsTakenOnceItIsKnownToBeFree)
+{
+    HolderLease lease(InstanceName{"one"}, 1);
+    cr_assert(!lease.next(at(0)));
+    lease.observe(std::nullopt, at(0));
+    const auto write = lease.next(at(300));
+    cr_assert(write.has_value());
+    cr_assert(write->expected.value == 0 && write->fence == 0);
+    lease.written(Revision{17}, at(300), at(304));
+    cr_assert(lease.holds(at(304)));
+    cr_assert(lease.fence() == 17);
+}
+
+Test(leadership, aHeldLeaseIsLeftAloneUntilItsHolderWasSilentForItsDuration)
+{
+    HolderLease lease(InstanceName{"one"}, 1);
+    lease.observe(LeaseState{InstanceName{"two"}, 5, Revision{8}}, at(0));
+    cr_assert(!lease.next(at(6900)));
+    lease.observe(LeaseState{InstanceName{"two"}, 5, Revision{9}}, at(6950));
+    cr_assert(!lease.next(at(7500)), "a renewal counts anew");
+    cr_assert(lease.next(at(6950 + 7300)).has_value());
+}
+
+Test(leadership, theHoldersOwnLeaseEndsBeforeOthersMayTakeIt)
+{
+    HolderLease holder(InstanceName{"one"}, 1);
+    holder.observe(std::nullopt, at(0));
+    (void)holder.next(at(300));
+    holder.written(Revision{17}, at(300), at(900));
+    HolderLease other(InstanceName{"two"}, 2);
+    other.observe(LeaseState{InstanceName{"one"}, 17, Revision{17}}, at(310));
+    for (std::int64_t time = 0; time < 9000; time += 10) {
+        cr_assert(!(holder.holds(at(time)) && other.next(at(time)).has_value()), "both at %ld ms", time);
+    }
+}
+
+Test(leadership, aRestartedHolderTakesItsOwnLeaseBackAtOnce)
+{
+    HolderLease lease(InstanceName{"one"}, 1);
+    lease.observe(LeaseState{InstanceName{"one"}, 5, Revision{8}}, at(0));
+    const auto write = lease.next(at(0));
+    cr_assert(write.has_value());
+    cr_assert(write->expected == Revision{8} && write->fence == 0, "a new holder process needs a new token");
+}
+
+Test(leadership, aConflictEndsTheLease)
+{
+    HolderLease lease(InstanceName{"one"}, 1);
+    lease.observe(std::nullopt, at(0));
+    (void)lease.next(at(300));
+    lease.written(Revision{17}, at(300), at(304));
+    cr_assert(lease.next(at(1900)).has_value());
+    lease.writeFailed(true, at(1904));
+    cr_assert(!lease.holds(at(1904)));
+}
+
+Test(leadership, aViewEndsByItselfAndNeverGoesBack)
+{
+    ViewBook book;
+    book.renew({record("p", 1, 10)}, at(0));
+    cr_assert(book.belief(GroupName{"g"}).usable(at(999)));
+    cr_assert(!book.belief(GroupName{"g"}).usable(at(1000)));
+    cr_assert(book.accept(record("p", 1, 12, true)));
+    cr_assert(!book.belief(GroupName{"g"}).usable(at(5)));
+    book.renew({record("p", 1, 10)}, at(20));
+    cr_assert(!book.belief(GroupName{"g"}).usable(at(25)), "a listing from before the move must not undo it");
+    book.renew({record("r", 2, 14)}, at(30));
+    cr_assert(book.belief(GroupName{"g"}).usable(at(35)));
+    cr_assert(book.belief(GroupName{"g"}).member.text() == "r");
+}
+
+Test(leadership, aPrimaryThatAnyProxyHearsIsNotSilent)
+{
+    Suspicion suspicion;
+    suspicion.restart(1, at(0));
+    PrimarySighting seen;
+    seen.generation = 1;
+    seen.sinceAnswer = Milliseconds{50};
+    for (std::int64_t time = 0; time <= 2000; time += 250) {
+        suspicion.sight(InstanceName{"other"}, seen, at(time));
+        cr_assert(!suspicion.judge(at(time)));
+    }
+    cr_assert(suspicion.judge(at(2000 + 700)) == MoveReason::Silent);
+}
+
+Test(leadership, aPrimaryThatDeniesToLeadIsReplaced)
+{
+    Suspicion suspicion;
+    suspicion.restart(1, at(0));
+    suspicion.probed(false, at(200));
+    cr_assert(!suspicion.judge(at(300)));
+    suspicion.probed(false, at(650));
+    cr_assert(suspicion.judge(at(650)) == MoveReason::Denied);
+}
+
+Test(leadership, fleetObjectsReadAsTheyWereWritten)
+{
+    StoredObject object;
+    object.kind = fleetKind();
+    object.name = recordKey(GroupName{"g"}).name;
+    object.version = Revision{12};
+    object.value = encode(record("p", 3, 0, true));
+    const auto read = decodeFleetObject(object);
+    cr_assert(std::get<GroupRecord>(read) == record("p", 3, 12, true));
+    object.name = leaseKey().name;
+    object.value = encodeLease(InstanceName{"one"}, 0);
+    cr_assert(std::get<LeaseState>(decodeFleetObject(object)).fence == 12);
+    object.value = "[1";
+    cr_assert(std::holds_alternative<std::monostate>(decodeFleetObject(object)));
+}
--- /dev/null
+++ b/tests/relay/relaydriver.h
@@ -0,0 +1,202 @@
+// Drives an engine in virtual time: callers, members' answers and the actions in between.
+#pragma once
+
+#include "relay/engine.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cardamomstep::relay {
+
+inline TimePoint at(std::int64_t milliseconds)
+{
+    return TimePoint{Milliseconds{1'000'000 + milliseconds}};
+}
+
+inline Mark position(std::uint64_t term, std::uint64_t number)
+{
+    return Mark{Term{term, 0}, number};
+}
+
+/// Shape of the group under test.
+struct DriverOptions {
+    std::uint32_t memberConnections = 16;
+    std::uint32_t liveProxies = 1;
+    Consistency consistency = Consistency::ReadYourWrites;
+    EngineLimits limits;
+};
+
+/// One group "g" with primary "p" and replicas "r1" and "r2", reached by the database name "db".
+class RelayDriver
+{
+public:
+    explicit RelayDriver(const DriverOptions &options = {})
+        : engine(FailureDomain{"a"}, 7, options.limits)
+    {
+        Configuration configuration;
+        configuration.version = 1;
+        Route route;
+        route.database = DatabaseName{"db"};
+        route.group = GroupName{"g"};
+        route.consistency = options.consistency;
+        route.maxStaleness = Milliseconds{2000};
+        route.statementTimeout = Milliseconds{800};
+        configuration.routes.push_back(route);
+        configuration.groups.push_back({GroupName{"g"}, options.memberConnections, 1});
+        engine.configure(configuration, now);
+        engine.setLiveProxies(options.liveProxies, now);
+        directory.replaceAll({member("p", "a", true), member("r1", "b", false), member("r2", "c", false)}, now);
+        engine.setMembers(directory, now);
+        believe("p", 1);
+        settle();
+    }
+
+    static MemberEntry member(const std::string &name, const std::string &domain, bool primary)
+    {
+        MemberEntry entry;
+        entry.name = MemberName{name};
+        entry.group = GroupName{"g"};
+        entry.address = Address{"127.0.0.1:1"};
+        entry.failureDomain = FailureDomain{domain};
+        entry.claimsPrimary = primary;
+        entry.startedAt = 1;
+        return entry;
+    }
+
+    void believe(const std::string &primary, std::uint64_t generation, bool held = false)
+    {
+        engine.setPrimary(GroupName{"g"}, {MemberName{primary}, generation, TimePoint::max(), held}, now);
+    }
+
+    /// Collects actions; links open at once.
+    void settle()
+    {
+        for (auto actions = engine.takeActions(); !actions.empty(); actions = engine.takeActions()) {
+            for (auto &action : actions) {
+                take(action);
+            }
+        }
+    }
+
+    void open(CallerKey caller)
+    {
+        opened = static_cast<bool>(engine.callerOpened(caller, DatabaseName{"db"}, now));
+        settle();
+    }
+
+    void say(CallerKey caller, StatementKind kind, const std::string &name = {}, const std::string &argument = {})
+    {
+        SessionStatement statement;
+        statement.id = "id" + std::to_string(++ids);
+        statement.kind = kind;
+        statement.name = name;
+        statement.argument = argument;
+        statement.text = "text" + std::to_string(ids);
+        engine.callerStatement(caller, statement, now);
+        settle();
+    }
+
+    void advance(std::int64_t milliseconds)
+    {
+        const auto end = now + Milliseconds{milliseconds};
+        while (now < end) {
+            now = std::min<TimePoint>(end, now + Milliseconds{10});
+            engine.wake(now);
+            settle();
+        }
+    }
+
+    /// Answers the oldest requests that a member has, up to and including the next forwarded one.
+    void answerNext(std::optional<MemberFault> fault = std::nullopt, Mark mark = position(1, 10))
+    {
+        while (!requests.empty()) {
+            const auto [link, request] = requests.front();
+            requests.erase(requests.begin());
+            const bool forwarded = request.verb == MemberVerb::Forward || request.verb == MemberVerb::ExecutePrepared;
+            MemberReply reply;
+            reply.position = mark;
+            if (forwarded) {
+                reply.fault = fault;
+                reply.signature = fault ? "" : "signed";
+            }
+            engine.linkReplied(link, reply, now);
+            settle();
+            if (forwarded) {
+                return;
+            }
+        }
+    }
+
+    /// The member that the last forwarded statement went to.
+    [[nodiscard]] std::string lastMember() const
+    {
+        return members.empty() ? "" : members.back();
+    }
+
+    [[nodiscard]] const CallerReply *lastReply(CallerKey caller) const
+    {
+        for (auto reply = replies.rbegin(); reply != replies.rend(); ++reply) {
+            if (reply->first == caller) {
+                return &reply->second;
+            }
+        }
+        return nullptr;
+    }
+
+    TimePoint now = at(0);
+    Engine engine;
+    MemberDirectory directory;
+    bool opened = false;
+    int ids = 0;
+    /// Links are refused by members in place of being opened.
+    std::optional<MemberFault> refuseLinks;
+    std::vector<OpenLink> opens;
+    std::vector<std::pair<LinkKey, MemberRequest>> requests;
+    std::vector<std::string> members;
+    std::vector<std::pair<CallerKey, CallerReply>> replies;
+    std::vector<CallerKey> closedCallers;
+    std::vector<LinkKey> closedLinks;
+
+private:
+    void take(Action &action)
+    {
+        if (const auto *open = std::get_if<OpenLink>(&action)) {
+            opens.push_back(*open);
+            if (refuseLinks) {
+                engine.linkClosed(open->link, refuseLinks, now);
+            } else {
+                engine.linkOpened(open->link, position(1, 1), now);
+            }
+        } else if (auto *send = std::get_if<SendToMember>(&action)) {
+            for (const auto &request : send->requests) {
+                requests.emplace_back(send->link, request);
+                if (!request.id.empty()) {
+                    members.push_back(memberOf(send->link));
+                }
+            }
+        } else if (auto *reply = std::get_if<ReplyToCaller>(&action)) {
+            replies.emplace_back(reply->caller, reply->reply);
+        } else if (const auto *close = std::get_if<CloseCaller>(&action)) {
+            closedCallers.push_back(close->caller);
+            engine.callerClosed(close->caller, now);
+        } else if (const auto *link = std::get_if<CloseLink>(&action)) {
+            closedLinks.push_back(link->link);
+            std::erase_if(requests, [link](const auto &request) {
+                return request.first == link->link;
+            });
+        }
+    }
+
+    [[nodiscard]] std::string memberOf(LinkKey link) const
+    {
+        const auto found = std::find_if(opens.begin(), opens.end(), [link](const auto &open) {
+            return open.link == link;
+        });
+        return found == opens.end() ? "" : found->member.text();
+    }
+};
+
+} // namespace cardamomstep::relay
