Views passed on by a tree, lease in a kind of its own, connections borrowed where proxies outnumber them

Each renewal of the lease woke the watches of all 59 proxies. One proxy answered 61 others six times a second on an eighth of a core; and 62 proxies that each held a connection to members that accept 40 shut the holder out, which could not confirm the first primary.

--- a/src/cli/impl/commands.h
+++ b/src/cli/impl/commands.h
@@ -12,6 +12,7 @@
 int runStatus(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
 int runWatch(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
 int runHistory(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+int runExplain(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
 int runCheckSettings(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
 
 } // namespace cardamomstep::cli::impl
--- a/src/cli/impl/read.cpp
+++ b/src/cli/impl/read.cpp
@@ -1,5 +1,6 @@
 // The subcommands `get`, `delete` and `check-settings`.
 #include "settings/read.h"
+#include "settings/sessionsettings.h"
 #include "cli/client.h"
 #include "cli/commandline.h"
 #include "cli/exitcode.h"
@@ -186,17 +187,20 @@
 {
     CommandLine line(
         {"check-settings", "Checks a settings file and reports every fault.", "FILE", "cardamomstep check-settings proxy-1.json"});
+    line.addFlag("session", "the settings of a session proxy (docs/PLATFORM.md)");
     if (const auto done = line.parse(argc, argv, {1, 1}, out, err)) {
         return *done;
     }
     const auto &file = line.arguments()[0];
-    const auto settings = readSettingsFile(file);
-    if (!settings) {
-        static_cast<void>(reportFaults(err, "", settings.faults()));
-        return toInt(ExitCode::Usage);
-    }
-    out << file << ": ok\n";
-    return toInt(ExitCode::Ok);
+    const auto report = [&](const auto &settings) {
+        if (!settings) {
+            static_cast<void>(reportFaults(err, "", settings.faults()));
+            return toInt(ExitCode::Usage);
+        }
+        out << file << ": ok\n";
+        return toInt(ExitCode::Ok);
+    };
+    return line.has("session") ? report(readSessionSettingsFile(file)) : report(readSettingsFile(file));
 }
 
 } // namespace cardamomstep::cli::impl
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -89,6 +89,7 @@
             {"status", "show the proxies and their configuration", impl::runStatus},
             {"watch", "follow changes of records", impl::runWatch},
             {"history", "show the audit trail of changes", impl::runHistory},
+            {"explain", "tell a request's story from log files", impl::runExplain},
             {"check-settings", "check a settings file", impl::runCheckSettings}};
 }
 
--- a/src/cli/run.h
+++ b/src/cli/run.h
@@ -20,7 +20,7 @@
     std::function<int(int argc, const char *const *argv, std::ostream &out, std::ostream &err)> run;
 };
 
-/// The operators' subcommands: apply, get, diff, delete, status, watch, history, check-settings.
+/// The operators' subcommands: apply, get, diff, delete, status, watch, history, explain, check-settings.
 [[nodiscard]] std::vector<Subcommand> operatorSubcommands();
 
 /// Runs the subcommand that the command line names, out of operatorSubcommands() and \a others.
--- a/src/evloop/httpclient.cpp
+++ b/src/evloop/httpclient.cpp
@@ -16,6 +16,9 @@
 
 /// Largest answer that is read.
 constexpr std::uint64_t maxAnswerBytes = std::uint64_t{8} << 20U;
+/// A watch waits long without a byte; a connection that went silent must still show within seconds.
+constexpr Milliseconds peerTimeout{3000};
+constexpr Seconds keepAliveIdle{1};
 
 } // namespace
 
@@ -91,8 +94,7 @@
             self->finish(exchange, Error{ErrorKind::StoreUnavailable, "cannot connect to " + self->server_.text()}, false);
             return;
         }
-        error_code ignored; // Without it, small calls may be delayed.
-        socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+        watchPeer(*socket, peerTimeout, keepAliveIdle);
         self->socket_ = std::move(socket);
         self->write(exchange);
     });
--- a/src/evloop/lineconnection.cpp
+++ b/src/evloop/lineconnection.cpp
@@ -21,20 +21,8 @@
 using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
-constexpr int keepIdleSeconds = 5;
-constexpr int keepIntervalSeconds = 2;
-constexpr int keepCount = 3;
-
-void setOptions(tcp::socket &socket, Milliseconds peerTimeout)
-{
-    error_code ignored; // An option that is refused only delays the detection of a lost peer.
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.set_option(UserTimeout(static_cast<int>(peerTimeout.count())), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(KeepIdle(keepIdleSeconds), ignored);
-    socket.set_option(KeepInterval(keepIntervalSeconds), ignored);
-    socket.set_option(KeepCount(keepCount), ignored);
-}
+constexpr int keepIntervalSeconds = 1;
+constexpr int keepCount = 2;
 
 } // namespace
 
@@ -42,7 +30,7 @@
     : socket_(std::move(socket))
     , limits_(limits)
 {
-    setOptions(socket_, limits_.peerTimeout);
+    watchPeer(socket_, limits_.peerTimeout, limits_.keepAliveIdle);
 }
 
 void LineConnection::start(LineHandler onLine, EndHandler onEnd)
@@ -206,6 +194,17 @@
     }
 }
 
+void watchPeer(tcp::socket &socket, Milliseconds peerTimeout, Seconds keepAliveIdle)
+{
+    error_code ignored; // An option that is refused only delays the detection of a lost peer.
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(UserTimeout(static_cast<int>(peerTimeout.count())), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepIdle(static_cast<int>(keepAliveIdle.count())), ignored);
+    socket.set_option(KeepInterval(keepIntervalSeconds), ignored);
+    socket.set_option(KeepCount(keepCount), ignored);
+}
+
 void connect(asio::io_context &loop,
              const Address &address,
              Milliseconds timeout,
--- a/src/evloop/lineconnection.h
+++ b/src/evloop/lineconnection.h
@@ -26,6 +26,8 @@
     std::size_t unsentBytes = std::size_t{4} << 20U;
     /// Unacknowledged data for longer means that the peer is gone.
     Milliseconds peerTimeout{5000};
+    /// Silence after which the peer's presence is probed.
+    Seconds keepAliveIdle{5};
 };
 
 /// Why a connection ended.
@@ -93,6 +95,9 @@
     bool closed_ = false;
 };
 
+/// Makes \a socket notice within seconds that its peer is gone, also while nothing is sent.
+void watchPeer(boost::asio::ip::tcp::socket &socket, Milliseconds peerTimeout, Seconds keepAliveIdle);
+
 /// Connects to \a address within \a timeout; \a done gets the socket, or nothing.
 void connect(boost::asio::io_context &loop,
              const Address &address,
--- a/src/fleet/impl/fleetcodec.cpp
+++ b/src/fleet/impl/fleetcodec.cpp
@@ -43,6 +43,9 @@
     wire::RenewRequest message;
     message.set_instance(request.instance.text());
     message.set_since_store_ms(request.sinceStore ? request.sinceStore->count() : -1);
+    for (const auto &client : request.clients) {
+        message.add_clients(client.text());
+    }
     for (const auto &sighting : request.sightings) {
         auto &entry = *message.add_sightings();
         entry.set_group(sighting.group.text());
@@ -61,6 +64,9 @@
     if (message.since_store_ms() >= 0) {
         request.sinceStore = Milliseconds{message.since_store_ms()};
     }
+    for (const auto &client : message.clients()) {
+        request.clients.emplace_back(client);
+    }
     for (const auto &entry : message.sightings()) {
         leadership::PrimarySighting sighting;
         sighting.group = GroupName{entry.group()};
@@ -79,7 +85,12 @@
 {
     wire::RenewReply message;
     message.set_granted(reply.granted);
-    message.set_holder(reply.holder.text());
+    message.set_age_ms(reply.age.count());
+    message.set_holder(reply.lease.holder.text());
+    message.set_fence(reply.lease.fence);
+    message.set_renewals(reply.lease.renewals);
+    message.set_lease_left_ms(reply.lease.left.count());
+    message.set_holder_since_store_ms(reply.holderSinceStore ? reply.holderSinceStore->count() : -1);
     message.set_live_proxies(reply.liveProxies);
     message.set_yielded_fence(reply.yieldedFence);
     for (const auto &record : reply.records) {
@@ -92,7 +103,14 @@
 {
     RenewReply reply;
     reply.granted = message.granted();
-    reply.holder = InstanceName{message.holder()};
+    reply.age = Milliseconds{message.age_ms()};
+    reply.lease.holder = InstanceName{message.holder()};
+    reply.lease.fence = message.fence();
+    reply.lease.renewals = message.renewals();
+    reply.lease.left = Milliseconds{message.lease_left_ms()};
+    if (message.holder_since_store_ms() >= 0) {
+        reply.holderSinceStore = Milliseconds{message.holder_since_store_ms()};
+    }
     reply.liveProxies = message.live_proxies();
     reply.yieldedFence = message.yielded_fence();
     for (const auto &record : message.records()) {
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,6 +1,7 @@
 // What session proxies tell each other, as plain values.
 #pragma once
 
+#include "leadership/lease.h"
 #include "leadership/record.h"
 
 #include <cstdint>
@@ -15,13 +16,19 @@
     std::vector<leadership::PrimarySighting> sightings;
     /// Time since the store last answered the sender.
     std::optional<Milliseconds> sinceStore;
+    /// Proxies that renew their views at the sender.
+    std::vector<InstanceName> clients;
 };
 
-/// The holder's view, or who holds the lease.
+/// A view of the primaries, and the lease as far as the sender knows it.
 struct RenewReply {
+    /// The records were current `age` before the reply was sent.
     bool granted = false;
+    Milliseconds age{0};
     std::vector<leadership::GroupRecord> records;
-    InstanceName holder;
+    leadership::LeaseWord lease;
+    /// Time since the store last answered the holder, where the holder itself replies.
+    std::optional<Milliseconds> holderSinceStore;
     std::uint32_t liveProxies = 0;
     /// Fencing token of a lease that the sender held and gives up by this word; 0 for none.
     std::uint64_t yieldedFence = 0;
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -28,11 +28,19 @@
 class Follower : public std::enable_shared_from_this<Follower<Store>>
 {
 public:
-    Follower(boost::asio::io_context &loop, Store store, ObjectKind kind, WatchResumeOptions options, std::uint64_t seed, FollowerHandlers handlers)
+    /// After news, the next call waits for \a settle, so that changes in quick succession cost few calls.
+    Follower(boost::asio::io_context &loop,
+             Store store,
+             ObjectKind kind,
+             WatchResumeOptions options,
+             Milliseconds settle,
+             std::uint64_t seed,
+             FollowerHandlers handlers)
         : timer_(loop)
         , store_(std::move(store))
         , kind_(std::move(kind))
         , resume_(options, seed)
+        , settle_(settle)
         , handlers_(std::move(handlers))
     {
     }
@@ -55,12 +63,7 @@
                 self->onChanges(changes);
             });
         } else {
-            timer_.expires_after(std::get<PauseUntil>(next).time - now);
-            timer_.async_wait([self](const boost::system::error_code &error) {
-                if (!error) {
-                    self->step();
-                }
-            });
+            stepAfter(std::get<PauseUntil>(next).time - now);
         }
     }
 
@@ -73,6 +76,16 @@
 private:
     static constexpr Milliseconds listTimeout{1000};
 
+    void stepAfter(Microseconds wait)
+    {
+        timer_.expires_after(wait);
+        timer_.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error) {
+                self->step();
+            }
+        });
+    }
+
     void onListing(const Result<StoreListing> &listing)
     {
         const auto now = evloop::bootTimeNow();
@@ -99,7 +112,11 @@
             complete_ = changes->revision;
             handlers_.changed(*changes);
         }
-        step();
+        if (changes->changes.empty()) {
+            step();
+        } else {
+            stepAfter(settle_);
+        }
     }
 
     void fail(const Error &error, TimePoint now)
@@ -113,6 +130,7 @@
     Store store_;
     ObjectKind kind_;
     WatchResume resume_;
+    Milliseconds settle_;
     FollowerHandlers handlers_;
     /// All changes up to here are known.
     Revision complete_;
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -11,6 +11,7 @@
 #include "leadership/recordjson.h"
 #include "leadership/suspicion.h"
 #include "leadership/viewbook.h"
+#include "leadership/viewtree.h"
 #include "logging/log.h"
 #include "relay/engine.h"
 #include "settings/sessionsettings.h"
@@ -31,9 +32,15 @@
     /// Time between two renewals of this proxy's view.
     Milliseconds renewInterval{150};
     Milliseconds renewTimeout{250};
-    /// A view that was not renewed for this long is renewed from the store.
-    Milliseconds storeRenewAfter{350};
+    /// A view that was not renewed for this long is renewed from the store, by those that read it for others and by the rest.
+    Milliseconds readerRenewAfter{350};
+    Milliseconds storeRenewAfter{1200};
     Milliseconds storeRenewInterval{250};
+    /// Without word of a holder for this long, the stored lease is read.
+    Milliseconds leaseReadAfter{600};
+    Milliseconds leaseReadInterval{400};
+    /// As much time again passes on average before a proxy that reads nothing for others reads the lease.
+    unsigned leaseReadOdds{8};
     Milliseconds storeTimeout{900};
     /// A store that did not answer for this long is out of this process' reach.
     Milliseconds storeSilence{2400};
@@ -50,7 +57,8 @@
     Milliseconds proxyRemoval{20'000};
     /// A tick that comes this late means that this process stood still.
     Milliseconds standstill{500};
-    WatchResumeOptions watch{Milliseconds{2500}, BackoffOptions{Milliseconds{100}, Milliseconds{1000}}};
+    WatchResumeOptions watch{Milliseconds{25'000}, BackoffOptions{Milliseconds{100}, Milliseconds{1000}}};
+    Milliseconds watchSettle{150};
 };
 
 /// What the shell needs of its process.
@@ -101,23 +109,19 @@
         return now < views_.validUntil() + Milliseconds{500};
     }
 
-    /// Gives the lease back and leaves the fleet.
+    /// Gives the lease back. The entry in the store stays: an instance that stops most often starts again.
     void leave()
     {
         leaving_ = true;
         const auto now = evloop::bootTimeNow();
         if (lease_.holds(now)) {
-            store_.replace(leadership::leaseKey(),
-                           lease_.revision(),
-                           leadership::encodeLease(InstanceName{}, lease_.fence(), 0),
-                           limits_.storeTimeout,
-                           [](const Result<StoredObject> &) {});
-            host_.log(LogLevel::Info, "lease_returned", {{"fence", static_cast<std::int64_t>(lease_.fence())}});
+            const auto revision = lease_.revision();
+            yieldedFence_ = lease_.yield(now);
+            const auto released = leadership::encodeLease(InstanceName{}, yieldedFence_, 0);
+            store_.replace(leadership::leaseKey(), revision, released, limits_.storeTimeout, [](const Result<StoredObject> &) {});
+            host_.log(LogLevel::Info, "lease_returned", {{"fence", static_cast<std::int64_t>(yieldedFence_)}});
         }
         lease_.resign();
-        if (registered_.value != 0) {
-            store_.remove(leadership::proxyKey(settings_.instance), registered_, limits_.storeTimeout, [](const Result<Success> &) {});
-        }
     }
 
     void stop()
@@ -189,30 +193,68 @@
             for (const auto &object : changes.changes) {
                 takeObject(object, now);
             }
+            proxiesChanged();
             viewsChanged(now);
         };
         handlers.failed = [](const Error &) {};
         follower_ = std::make_shared<Follower<Store>>(
-            loop_, Store(loop_, settings_.store), leadership::fleetKind(), limits_.watch, random_(), std::move(handlers));
+            loop_, Store(loop_, settings_.store), leadership::fleetKind(), limits_.watch, limits_.watchSettle, random_(), std::move(handlers));
         follower_->step();
     }
 
     void takeListing(const StoreListing &listing, TimePoint now)
     {
         storeAnsweredAt_ = now;
-        bool leaseSeen = false;
         proxies_.clear();
         for (const auto &object : listing.objects) {
-            leaseSeen = leaseSeen || object.key() == leadership::leaseKey();
             takeObject(object, now);
         }
-        if (!leaseSeen) {
-            lease_.observe(std::nullopt, now);
-        }
         listed_ = true;
+        proxiesChanged();
         viewsChanged(now);
     }
 
+    void proxiesChanged()
+    {
+        std::vector<InstanceName> names;
+        for (const auto &[instance, entry] : proxies_) {
+            names.push_back(instance);
+        }
+        if (liveProxies_ == 0) {
+            host_.engine.setLiveProxies(static_cast<std::uint32_t>(names.size()), evloop::bootTimeNow());
+        }
+        tree_.setProxies(std::move(names));
+    }
+
+    /// Reads the stored lease, which few proxies need and only while no holder is heard of.
+    void readLease(TimePoint now)
+    {
+        const bool reads = tree_.readsStore(settings_.instance) || !listed_ || random_.below(limits_.leaseReadOdds) == 0;
+        const bool needed = lease_.needsObservation() || now - grantedAt_ >= limits_.leaseReadAfter;
+        if (leaseReading_ || !needed || now - leaseReadAt_ < limits_.leaseReadInterval) {
+            return;
+        }
+        leaseReadAt_ = now;
+        if (!reads && !lease_.needsObservation()) {
+            return;
+        }
+        leaseReading_ = true;
+        renewStore_.list(leadership::leaseKind(), limits_.storeTimeout, [this](const Result<StoreListing> &listing) {
+            leaseReading_ = false;
+            if (!listing) {
+                return;
+            }
+            const auto later = evloop::bootTimeNow();
+            storeAnsweredAt_ = later;
+            if (listing->objects.empty()) {
+                lease_.observe(std::nullopt, later);
+            }
+            for (const auto &object : listing->objects) {
+                takeObject(object, later);
+            }
+        });
+    }
+
     void takeObject(const StoredObject &object, TimePoint now)
     {
         auto decoded = leadership::decodeFleetObject(object);
@@ -233,6 +275,7 @@
         } else if (const auto *proxy = std::get_if<leadership::ProxyEntry>(&decoded)) {
             if (object.deleted) {
                 proxies_.erase(proxy->instance);
+                clients_.erase(proxy->instance);
                 heard_.erase(proxy->instance);
             } else {
                 proxies_[proxy->instance] = {proxy->address, object.version};
@@ -297,6 +340,9 @@
         } else {
             renewView(now);
         }
+        if (!lease_.holds(now) || lease_.needsObservation()) {
+            readLease(now);
+        }
     }
 
     void keepLease(TimePoint now)
@@ -310,14 +356,14 @@
             return;
         }
         const auto value = leadership::encodeLease(settings_.instance, write->fence, write->renewals);
-        const auto done = [this, now](const Result<StoredObject> &stored) {
+        const auto done = [this, now, write = *write](const Result<StoredObject> &stored) {
             const auto later = evloop::bootTimeNow();
             if (!stored) {
                 lease_.writeFailed(stored.error().kind == ErrorKind::Conflict, later);
                 return;
             }
             storeAnsweredAt_ = later;
-            const bool taken = !lease_.holds(later);
+            const bool taken = !lease_.holds(later) || write.fence == 0;
             lease_.written(stored->version, now, later);
             if (taken) {
                 tookLease();
@@ -373,24 +419,26 @@
     void renewView(TimePoint now)
     {
         if (!renewing_ && now - renewedAt_ >= limits_.renewInterval) {
-            askHolder(now);
+            askProxy(now);
         }
-        const bool old = now + leadership::viewLease - limits_.storeRenewAfter >= views_.validUntil();
+        const auto patience = tree_.readsStore(settings_.instance) ? limits_.readerRenewAfter : limits_.storeRenewAfter;
+        const bool old = now - views_.asOf() >= patience;
         if (old && listed_ && registered_.value != 0 && !storeRenewing_ && now - storeRenewedAt_ >= limits_.storeRenewInterval) {
             askStore(now);
         }
     }
 
-    void askHolder(TimePoint now)
+    /// Asks the holder, or a proxy that asks it, for its view.
+    void askProxy(TimePoint now)
     {
-        const auto holder = proxies_.find(holderGuess_.empty() ? lease_.holder() : holderGuess_);
-        if (holder == proxies_.end() || holder->first == settings_.instance) {
-            holderGuess_ = {};
+        const auto source = proxies_.find(tree_.source(settings_.instance, lease_.holder(), renewAttempt_));
+        if (source == proxies_.end()) {
+            ++renewAttempt_;
             return;
         }
         renewing_ = true;
         renewedAt_ = now;
-        const auto address = holder->second.first;
+        const auto address = source->second.first;
         client_.renew(address, renewRequest(now), limits_.renewTimeout, [this, now, address](Result<fleet::RenewReply> reply) {
             boost::asio::post(loop_, [this, now, address, reply = std::move(reply)] {
                 renewing_ = false;
@@ -406,6 +454,11 @@
         if (storeAnsweredAt_ != TimePoint{}) {
             request.sinceStore = wholeMilliseconds(now - storeAnsweredAt_);
         }
+        for (const auto &[instance, heardAt] : clients_) {
+            if (now - heardAt <= limits_.proxyLife) {
+                request.clients.push_back(instance);
+            }
+        }
         for (const auto &record : views_.all()) {
             request.sightings.push_back(sighting(record, now));
         }
@@ -432,44 +485,35 @@
     {
         const auto now = evloop::bootTimeNow();
         if (!reply) {
+            ++renewAttempt_;
             if (++renewFailures_[address] >= failuresToForget) {
                 client_.forget(address);
                 renewFailures_.erase(address);
             }
-            pickHolder({});
             return;
         }
         renewFailures_.erase(address);
         lease_.yielded(reply->yieldedFence, now);
+        lease_.heard(reply->lease, now);
         if (!reply->granted) {
-            pickHolder(reply->holder);
+            ++renewAttempt_;
             return;
         }
-        views_.renew(reply->records, askedAt);
+        renewAttempt_ = 0;
+        const bool keptLease = reply->lease.left > Milliseconds{0} && reply->yieldedFence != reply->lease.fence;
+        if (keptLease) {
+            grantedAt_ = now;
+        }
+        views_.renew(reply->records, askedAt - reply->age);
         if (reply->liveProxies > 0) {
+            liveProxies_ = reply->liveProxies;
             host_.engine.setLiveProxies(reply->liveProxies, now);
         }
         viewsChanged(now);
-    }
-
-    /// Decides whom to ask next: the holder that was named, the one known from the store, or any other proxy.
-    void pickHolder(const InstanceName &named)
-    {
-        const auto asked = holderGuess_.empty() ? lease_.holder() : holderGuess_;
-        if (!named.empty() && named != asked && proxies_.contains(named)) {
-            holderGuess_ = named;
-            return;
-        }
-        if (!holderGuess_.empty()) {
-            holderGuess_ = {};
-            return;
-        }
-        if (proxies_.empty()) {
-            return;
+        // A holder that the store does not answer yields to one that it does; so this process finds out whether it does.
+        if (reply->holderSinceStore && *reply->holderSinceStore >= limits_.storeSilence && !storeRenewing_) {
+            askStore(now);
         }
-        auto any = proxies_.begin();
-        std::advance(any, static_cast<std::ptrdiff_t>(random_.below(proxies_.size())));
-        holderGuess_ = any->first;
     }
 
     void askStore(TimePoint now)
@@ -514,24 +558,34 @@
     fleet::RenewReply grant(const fleet::RenewRequest &request)
     {
         const auto now = evloop::bootTimeNow();
-        fleet::RenewReply reply;
-        reply.holder = lease_.holder();
         yieldIfCutOff(request, now);
+        fleet::RenewReply reply;
+        reply.lease = lease_.word(now);
         reply.yieldedFence = yieldedFence_;
-        // The view that is granted must end before another proxy can take the lease.
-        reply.granted = lease_.holds(now + leadership::viewLease) && recordsCurrent_ && proxies_.contains(request.instance);
-        if (!reply.granted) {
-            return reply;
-        }
-        heard_[request.instance] = now;
-        reply.records = views_.all();
-        reply.liveProxies = liveProxies(now);
+        clients_[request.instance] = now;
         for (const auto &seen : request.sightings) {
             const auto watched = watched_.find(seen.group);
             if (watched != watched_.end()) {
                 watched->second.suspicion.sight(request.instance, seen, now);
             }
         }
+        if (!lease_.holds(now)) {
+            // A view is passed on with its age, so it ends for the asker when it ends here.
+            reply.granted = now - views_.asOf() < leadership::viewLease * 3 / 4;
+            reply.age = std::chrono::ceil<Milliseconds>(now - views_.asOf());
+            reply.liveProxies = liveProxies_;
+            reply.records = views_.current();
+            return reply;
+        }
+        // The view that is granted must end before another proxy can take the lease.
+        reply.granted = lease_.holds(now + leadership::viewLease) && recordsCurrent_ && proxies_.contains(request.instance);
+        reply.holderSinceStore = wholeMilliseconds(now - storeAnsweredAt_);
+        heard_[request.instance] = now;
+        for (const auto &client : request.clients) {
+            heard_[client] = now;
+        }
+        reply.records = views_.all();
+        reply.liveProxies = liveProxies(now);
         return reply;
     }
 
@@ -637,33 +691,36 @@
         });
     }
 
-    /// Records the primary of a group for the first time: the one member that says so.
+    /// Records the primary of a group for the first time: the one member that registered as such. Nobody was ever promoted before.
     void bootstrap(const GroupName &group, TimePoint now)
     {
-        auto &askedAt = bootstrapAsked_[group];
-        if (now - askedAt < limits_.controlPatience) {
+        auto &triedAt = bootstrapTried_[group];
+        if (now - triedAt < limits_.controlPatience) {
             return;
         }
-        askedAt = now;
+        std::vector<MemberName> claimants;
         for (const auto &member : host_.directory.membersOf(group)) {
-            if (!member.claimsPrimary) {
-                continue;
+            if (member.claimsPrimary) {
+                claimants.push_back(member.name);
             }
-            ask(member, relay::MemberVerb::Status, 0, [this, group, member](const ControlAnswer &answer) {
-                if (!answer.account || !answer.account->primary || views_.find(group) != nullptr) {
-                    return;
-                }
-                leadership::GroupRecord record;
-                record.group = group;
-                record.primary = member.name;
-                record.generation = 1;
-                store_.create(leadership::recordKey(group), leadership::encode(record), limits_.storeTimeout, [this](const Result<StoredObject> &created) {
-                    if (created) {
-                        takeObject(*created, evloop::bootTimeNow());
-                    }
-                });
-            });
         }
+        if (claimants.size() != 1) {
+            return;
+        }
+        triedAt = now;
+        leadership::GroupRecord record;
+        record.group = group;
+        record.primary = claimants.front();
+        record.generation = 1;
+        const auto done = [this](const Result<StoredObject> &created) {
+            if (created) {
+                takeObject(*created, evloop::bootTimeNow());
+            } else {
+                // It may exist although the answer was lost.
+                readRecords();
+            }
+        };
+        store_.create(leadership::recordKey(group), leadership::encode(record), limits_.storeTimeout, done);
     }
 
     /// Keeps an eye on the group's primary.
@@ -1019,7 +1076,7 @@
     std::map<GroupName, relay::PrimaryBelief> told_;
     std::map<GroupName, Watched> watched_;
     std::map<GroupName, leadership::Promotion> moves_;
-    std::map<GroupName, TimePoint> bootstrapAsked_;
+    std::map<GroupName, TimePoint> bootstrapTried_;
     std::map<MemberName, std::shared_ptr<Control>> controls_;
     /// Revision of this proxy's own entry; 0 until it is registered.
     Revision registered_;
@@ -1034,8 +1091,17 @@
     TimePoint renewedAt_;
     /// Renewals in a row that failed, by proxy.
     std::map<Address, unsigned> renewFailures_;
-    /// Whom to ask for a view in place of the holder that the store names.
-    InstanceName holderGuess_;
+    /// Renewals in a row that brought no view.
+    std::size_t renewAttempt_ = 0;
+    leadership::ViewTree tree_;
+    /// Proxies that renew their views here, and when they last did.
+    std::map<InstanceName, TimePoint> clients_;
+    /// Live proxies as last told.
+    std::uint32_t liveProxies_ = 0;
+    /// Last word of a holder that keeps its lease.
+    TimePoint grantedAt_;
+    TimePoint leaseReadAt_;
+    bool leaseReading_ = false;
     bool storeRenewing_ = false;
     TimePoint storeRenewedAt_;
     TimePoint controlsKeptAt_;
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -25,8 +25,10 @@
 
 /// Bounds of the shell.
 struct SessionProxyLimits {
-    /// Longest wait of one watch; configuration is at most this and a call's time behind.
-    Milliseconds watchWait{2500};
+    /// Longest wait of one watch for members. Watches may miss changes until the next call.
+    Milliseconds memberWait{4000};
+    /// Pause after news from the store.
+    Milliseconds watchSettle{250};
     BackoffOptions watchBackoff{Milliseconds{60}, Milliseconds{800}};
     /// Time between two writes of the log.
     Milliseconds logInterval{100};
@@ -190,9 +192,9 @@
 
     // Store
 
-    WatchResumeOptions watchOptions() const
+    WatchResumeOptions watchOptions(Milliseconds wait) const
     {
-        return {limits_.watchWait, limits_.watchBackoff};
+        return {wait, limits_.watchBackoff};
     }
 
     void followConfiguration()
@@ -210,7 +212,8 @@
         configuration_ = std::make_shared<Follower<Store>>(loop_,
                                                            Store(loop_, settings_.store),
                                                            ObjectKind{Store::configurationKind},
-                                                           watchOptions(),
+                                                           watchOptions(settings_.configurationDeadline * 2 / 3),
+                                                           limits_.watchSettle,
                                                            stableHash(settings_.instance.text()),
                                                            std::move(handlers));
         configuration_->step();
@@ -277,7 +280,8 @@
         members_ = std::make_shared<Follower<Store>>(loop_,
                                                      Store(loop_, settings_.store),
                                                      ObjectKind{Store::memberKind},
-                                                     watchOptions(),
+                                                     watchOptions(limits_.memberWait),
+                                                     limits_.watchSettle,
                                                      stableHash(settings_.instance.text(), 1),
                                                      std::move(handlers));
         members_->step();
--- a/src/leadership/lease.cpp
+++ b/src/leadership/lease.cpp
@@ -5,6 +5,7 @@
 
 void HolderLease::observe(const std::optional<LeaseState> &state, TimePoint now)
 {
+    conflicted_ = false;
     const bool older = state && state_ && state->revision < state_->revision;
     if (older) {
         return;
@@ -17,15 +18,47 @@
     state_ = state;
     seenSince_ = now;
     contention_ = Milliseconds{static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(limits_.contention.count()) + 1))};
-    if (!state || state->holder != self_) {
+    const bool mine = state && state->holder == self_ && state->fence == fence_;
+    if (held_ && !mine) {
         held_ = false;
+    }
+    if (!state || state->holder != self_) {
         resigned_ = leaving_;
     }
 }
 
+void HolderLease::heard(const LeaseWord &word, TimePoint now)
+{
+    const bool older = word.fence < word_.fence || (word.fence == word_.fence && word.renewals < word_.renewals);
+    if (word.fence == 0 || older) {
+        return;
+    }
+    word_ = word;
+    wordEnds_ = now + word.left;
+}
+
+LeaseWord HolderLease::word(TimePoint now) const
+{
+    if (holds(now)) {
+        return {self_, fence_, renewals_, wholeMilliseconds(validUntil_ + limits_.margin - now)};
+    }
+    auto word = word_;
+    word.left = wholeMilliseconds(wordEnds_ - now);
+    return word;
+}
+
+InstanceName HolderLease::holder() const
+{
+    const bool byWord = word_.fence != 0 && (!state_ || word_.fence >= state_->fence);
+    if (byWord) {
+        return word_.holder;
+    }
+    return state_ ? state_->holder : InstanceName{};
+}
+
 std::optional<LeaseWrite> HolderLease::next(TimePoint now)
 {
-    if (!observed_ || writing_ || resigned_ || now < pausedUntil_) {
+    if (needsObservation() || writing_ || resigned_ || now < pausedUntil_) {
         return std::nullopt;
     }
     if (held_) {
@@ -38,7 +71,9 @@
     // A lease in this process' own name belongs to an earlier process of this instance, which is gone.
     const bool own = state_ && state_->holder == self_;
     const bool free = !state_ || state_->holder.empty();
-    const bool expired = state_ && now - seenSince_ >= limits_.duration + contention_;
+    const bool silent = state_ && now - seenSince_ >= limits_.duration + contention_;
+    const bool same = state_ && state_->fence == word_.fence && state_->renewals == word_.renewals;
+    const bool expired = silent || (same && now >= wordEnds_ + limits_.margin + contention_);
     const bool givenUp = state_ && state_->fence == yieldedFence_ && now - yieldedAt_ >= contention_;
     if (!own && !(free && now - seenSince_ >= contention_) && !expired && !givenUp) {
         return std::nullopt;
@@ -82,9 +117,7 @@
 {
     writing_ = false;
     pausedUntil_ = now + limits_.retryPause;
-    if (conflict) {
-        held_ = false;
-    }
+    conflicted_ = conflict;
 }
 
 } // namespace cardamomstep::leadership
--- a/src/leadership/lease.h
+++ b/src/leadership/lease.h
@@ -38,6 +38,15 @@
     [[nodiscard]] bool operator==(const LeaseState &) const = default;
 };
 
+/// What the holder, or a proxy that asked it, says of the lease.
+struct LeaseWord {
+    InstanceName holder;
+    std::uint64_t fence = 0;
+    std::uint64_t renewals = 0;
+    /// Time until the holder stops relying on it, unless it renews it.
+    Milliseconds left{0};
+};
+
 /// Write the lease with this process as holder if it is still at `expected` (0: it must not exist).
 struct LeaseWrite {
     Revision expected;
@@ -63,15 +72,28 @@
     /// Takes in the stored lease as read at \a now, or that there is none.
     void observe(const std::optional<LeaseState> &state, TimePoint now);
 
+    /// Takes in what another proxy said of the lease at \a now; a holder that is heard of is not waited out from the start.
+    void heard(const LeaseWord &word, TimePoint now);
+
+    /// What this process can say of the lease at \a now.
+    [[nodiscard]] LeaseWord word(TimePoint now) const;
+
     /// The write to make at \a now, if any; report it by written() or writeFailed().
     [[nodiscard]] std::optional<LeaseWrite> next(TimePoint now);
 
     /// Takes in the success of a write that was begun at \a begun.
     void written(Revision revision, TimePoint begun, TimePoint now);
 
-    /// Takes in that a write failed; \a conflict when another version is stored.
+    /// Takes in that a write failed; \a conflict when another version is stored. A held lease is then kept until its end, but renewed
+    /// only once the stored one was observed: an answer may have been lost.
     void writeFailed(bool conflict, TimePoint now);
 
+    /// True when the stored lease must be observed before the next write.
+    [[nodiscard]] bool needsObservation() const noexcept
+    {
+        return conflicted_ || !observed_;
+    }
+
     /// Gives a held lease up without the store, for others to take; returns its fencing token.
     std::uint64_t yield(TimePoint now);
 
@@ -116,10 +138,7 @@
     }
 
     /// The holder as last known; empty when there is none.
-    [[nodiscard]] InstanceName holder() const
-    {
-        return state_ ? state_->holder : InstanceName{};
-    }
+    [[nodiscard]] InstanceName holder() const;
 
 private:
     InstanceName self_;
@@ -130,10 +149,14 @@
     bool observed_ = false;
     /// When state_ was first seen at its revision.
     TimePoint seenSince_;
+    /// The newest word of the lease, and when the lease ends by it.
+    LeaseWord word_;
+    TimePoint wordEnds_;
     /// Random wait before the lease is taken; drawn anew for each revision.
     Milliseconds contention_{0};
     bool held_ = false;
     bool writing_ = false;
+    bool conflicted_ = false;
     /// Takes no lease until another holder was seen, or ever while leaving_.
     bool resigned_ = false;
     bool leaving_ = false;
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -32,9 +32,14 @@
     return ObjectKind{"fleet"};
 }
 
+ObjectKind leaseKind()
+{
+    return ObjectKind{"fleet-lease"};
+}
+
 ObjectKey leaseKey()
 {
-    return {fleetKind(), ObjectName{std::string(leaseName)}};
+    return {leaseKind(), ObjectName{std::string(leaseName)}};
 }
 
 ObjectKey recordKey(const GroupName &group)
--- a/src/leadership/recordjson.h
+++ b/src/leadership/recordjson.h
@@ -19,8 +19,10 @@
     Address address;
 };
 
-/// Kind of all objects of the fleet.
+/// Kind of the records and the proxies' entries, which every proxy watches.
 [[nodiscard]] ObjectKind fleetKind();
+/// Kind of the lease alone: it changes often and few proxies need to read it.
+[[nodiscard]] ObjectKind leaseKind();
 
 [[nodiscard]] ObjectKey leaseKey();
 [[nodiscard]] ObjectKey recordKey(const GroupName &group);
--- a/src/leadership/viewbook.cpp
+++ b/src/leadership/viewbook.cpp
@@ -22,6 +22,7 @@
 void ViewBook::renew(const std::vector<GroupRecord> &records, TimePoint askedAt)
 {
     const auto until = askedAt + viewLease;
+    asOf_ = std::max(asOf_, askedAt);
     for (const auto &record : records) {
         if (!accept(record)) {
             continue;
@@ -48,6 +49,18 @@
     return {record.primary, record.generation, found->second.validUntil, record.moving};
 }
 
+std::vector<GroupRecord> ViewBook::current() const
+{
+    std::vector<GroupRecord> records;
+    for (const auto &[group, entry] : entries_) {
+        // A record of a move that was heard of since then is newer than the view, and just as binding.
+        if (entry.validUntil >= asOf_ + viewLease || entry.record.moving) {
+            records.push_back(entry.record);
+        }
+    }
+    return records;
+}
+
 std::vector<GroupRecord> ViewBook::all() const
 {
     std::vector<GroupRecord> records;
--- a/src/leadership/viewbook.h
+++ b/src/leadership/viewbook.h
@@ -34,6 +34,15 @@
 
     [[nodiscard]] std::vector<GroupRecord> all() const;
 
+    /// The records that were current at asOf().
+    [[nodiscard]] std::vector<GroupRecord> current() const;
+
+    /// The moment after which the newest view was asked for.
+    [[nodiscard]] TimePoint asOf() const noexcept
+    {
+        return asOf_;
+    }
+
 private:
     struct Entry {
         GroupRecord record;
@@ -42,6 +51,7 @@
 
     std::map<GroupName, Entry> entries_;
     TimePoint newest_;
+    TimePoint asOf_;
 };
 
 } // namespace cardamomstep::leadership
--- /dev/null
+++ b/src/leadership/viewtree.cpp
@@ -0,0 +1,47 @@
+// Ranks proxies by a hash of their names.
+#include "leadership/viewtree.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace cardamomstep::leadership {
+
+void ViewTree::setProxies(std::vector<InstanceName> proxies)
+{
+    ranked_ = std::move(proxies);
+    std::sort(ranked_.begin(), ranked_.end(), [](const auto &left, const auto &right) {
+        return std::pair(stableHash(left.text()), left.text()) < std::pair(stableHash(right.text()), right.text());
+    });
+}
+
+std::size_t ViewTree::relays() const noexcept
+{
+    return ranked_.size() <= fanOut ? 0 : (ranked_.size() + fanOut - 1) / fanOut;
+}
+
+InstanceName ViewTree::source(const InstanceName &self, const InstanceName &holder, std::size_t attempt) const
+{
+    const auto rank = static_cast<std::size_t>(std::find(ranked_.begin(), ranked_.end(), self) - ranked_.begin());
+    const bool asksHolder = rank < relays() || relays() == 0;
+    if (asksHolder && attempt % 2 == 0 && !holder.empty() && holder != self) {
+        return holder;
+    }
+    // Relays first; where a fleet has none, those that read the store while there is no holder.
+    const auto sources = std::min(std::max(relays(), storeReaders), ranked_.size());
+    for (std::size_t step = 0; step < sources; ++step) {
+        const auto &candidate = ranked_[(stableHash(self.text()) + attempt + step) % sources];
+        if (candidate != self) {
+            return candidate;
+        }
+    }
+    return {};
+}
+
+bool ViewTree::readsStore(const InstanceName &self) const
+{
+    const auto readers = std::min(std::max(relays(), storeReaders), ranked_.size());
+    return std::find(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(readers), self) != ranked_.begin() + static_cast<std::ptrdiff_t>(readers);
+}
+
+} // namespace cardamomstep::leadership
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -19,13 +19,20 @@
 {
 }
 
+Engine::Group &Engine::groupState(const GroupName &name)
+{
+    auto &group = groups_[name];
+    group.config.group = name;
+    return group;
+}
+
 void Engine::configure(const Configuration &configuration, TimePoint now)
 {
     if (!routes_.accept(configuration)) {
         return;
     }
     for (const auto &[name, config] : routes_.groups()) {
-        auto &group = groups_[name];
+        auto &group = groupState(name);
         group.config = config;
         share(group, now);
     }
@@ -66,7 +73,7 @@
 
 void Engine::setPrimary(const GroupName &name, const PrimaryBelief &belief, TimePoint now)
 {
-    auto &group = groups_[name];
+    auto &group = groupState(name);
     const bool changed = group.primary.member != belief.member || group.primary.generation != belief.generation;
     const bool wasUsable = group.primary.usable(now);
     group.primary = belief;
@@ -119,8 +126,9 @@
 {
     const auto limit = group.config.memberConnections;
     const auto planned = limit > limits_.reservedConnections ? limit - limits_.reservedConnections : limit;
-    const auto fair = std::max<std::uint32_t>(1, planned / std::max<std::uint32_t>(1, liveProxies_));
-    const auto most = std::max<std::uint32_t>(fair, std::min<std::uint32_t>(planned, fair * 2));
+    // With more proxies than connections the fair share is none: links are opened for a statement and closed soon after.
+    const auto fair = liveProxies_ == 0 ? 0 : planned / liveProxies_;
+    const auto most = std::max<std::uint32_t>(limits_.leastBorrowed, std::min<std::uint32_t>(planned, fair * 2));
     for (auto &[name, pool] : group.pools) {
         pool.setAllowed(fair, most);
     }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -30,6 +30,8 @@
     MemberPoolLimits pool;
     /// Connections of each member that no proxy plans on: those of a proxy that was replaced linger for seconds.
     std::uint32_t reservedConnections = 2;
+    /// Connections to one member that a process may open while others leave theirs unused, however small its fair share.
+    std::uint32_t leastBorrowed = 2;
     /// Connections of this process to one member that may be opening at once.
     std::uint32_t opensAtOnce = 2;
     /// Statements that may wait in one group.
@@ -188,6 +190,9 @@
         std::optional<TimePoint> stalledSince;
     };
 
+    /// The group's state, made when something is first heard of it: records may arrive before the configuration.
+    [[nodiscard]] Group &groupState(const GroupName &name);
+
     // Callers (enginecallers.cpp)
     void admit(CallerKey key, Caller &caller, TimePoint now);
     void enqueue(CallerKey key, Caller &caller, Group &group, TimePoint now);
@@ -237,7 +242,8 @@
     Random random_;
     RouteBook routes_;
     RetryBudget budget_;
-    std::uint32_t liveProxies_ = 1;
+    /// Proxies that share the members' connections; 0 while unknown.
+    std::uint32_t liveProxies_ = 0;
     std::unordered_map<CallerKey, Caller> callers_;
     std::map<GroupName, Group> groups_;
     std::unordered_map<LinkKey, std::pair<GroupName, MemberName>> links_;
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -95,7 +95,7 @@
     caller.sealed = false;
     caller.giveUpAt = now + route->statementTimeout;
     caller.group = route->group;
-    enqueue(key, caller, groups_[route->group], now);
+    enqueue(key, caller, groupState(route->group), now);
 }
 
 void Engine::enqueue(CallerKey key, Caller &caller, Group &group, TimePoint now)
@@ -116,7 +116,7 @@
 
 void Engine::dequeue(CallerKey key, Caller &caller)
 {
-    auto &waiting = groups_[caller.group].waiting;
+    auto &waiting = groupState(caller.group).waiting;
     std::erase_if(waiting, [key](const auto &place) {
         return place.second == key;
     });
@@ -220,7 +220,7 @@
         return;
     }
     if (caller.activity == Activity::Waiting) {
-        auto &group = groups_[caller.group];
+        auto &group = groupState(caller.group);
         const bool noPrimary = lacksPrimary(caller, group, now);
         if (noPrimary && now < caller.giveUpAt) {
             setTimer(key, caller, std::min<TimePoint>(caller.giveUpAt, now + limits_.connectionPatience / 4));
--- a/src/relay/enginelending.cpp
+++ b/src/relay/enginelending.cpp
@@ -116,7 +116,7 @@
             continue;
         }
         const auto wanted = primary ? forPrimary + forReaders / 4 : forReaders;
-        const bool keepOne = pool.size() == 0 && routes_.known() && !drainUntil_;
+        const bool keepOne = pool.size() == 0 && pool.fairShare() > 0 && !drainUntil_;
         auto opening = pool.count(LinkPhase::Opening);
         while ((opening < wanted || (keepOne && opening == 0)) && opening < limits_.opensAtOnce && pool.mayOpen(now)) {
             openLink(group, pool, now);
@@ -136,7 +136,7 @@
 
 void Engine::lend(CallerKey key, Caller &caller, Link &link, const std::optional<Mark> &required, TimePoint now)
 {
-    auto &group = groups_[caller.group];
+    auto &group = groupState(caller.group);
     link.phase = LinkPhase::Lent;
     link.caller = key;
     link.since = now;
@@ -165,7 +165,7 @@
 void Engine::sendStatement(
     Caller &caller, Link &link, const std::optional<Mark> &required, std::vector<MemberRequest> requests, TimePoint now)
 {
-    auto &group = groups_[caller.group];
+    auto &group = groupState(caller.group);
     auto &pool = group.pools.at(link.member);
     lineUp(caller, link, requests, now);
     MemberRequest request;
--- a/src/relay/enginelinks.cpp
+++ b/src/relay/enginelinks.cpp
@@ -18,7 +18,7 @@
     if (place == links_.end()) {
         return nullptr;
     }
-    *group = &groups_[place->second.first];
+    *group = &groupState(place->second.first);
     *pool = &(*group)->pools.at(place->second.second);
     return (*pool)->find(key);
 }
@@ -188,11 +188,11 @@
         if (!member.empty() && fault != MemberFault::UnknownStatement) {
             caller.avoid.push_back(member);
         }
-        enqueue(key, caller, groups_[caller.group], now);
+        enqueue(key, caller, groupState(caller.group), now);
         return;
     }
     if (answerRule(outcome.error.kind).retryable && outcome.error.ran == Ran::No) {
-        outcome.error = std::move(outcome.error).comingBackAfter(comeBack(groups_[caller.group]));
+        outcome.error = std::move(outcome.error).comingBackAfter(comeBack(groupState(caller.group)));
     }
     fail(key, caller, std::move(outcome.error), now);
 }
--- a/src/relay/memberpool.h
+++ b/src/relay/memberpool.h
@@ -98,6 +98,11 @@
         most_ = most;
     }
 
+    [[nodiscard]] std::uint32_t fairShare() const noexcept
+    {
+        return fairShare_;
+    }
+
     /// True when another connection may be opened at \a now.
     [[nodiscard]] bool mayOpen(TimePoint now) const noexcept
     {
@@ -176,8 +181,8 @@
 private:
     MemberPoolLimits limits_;
     MemberEntry entry_;
-    std::uint32_t fairShare_ = 1;
-    std::uint32_t most_ = 1;
+    std::uint32_t fairShare_ = 0;
+    std::uint32_t most_ = 0;
     std::map<LinkKey, Link> links_;
     SmoothedTime answerTime_;
     TimePoint lastAnswer_;
--- a/src/settings/sessionsettings.cpp
+++ b/src/settings/sessionsettings.cpp
@@ -39,6 +39,8 @@
     settings.stopGrace = Milliseconds{reader.number<std::int64_t>("stopGraceMs", {0, maxGraceMs}, settings.stopGrace.count())};
     settings.memberHeartbeat =
         Milliseconds{reader.number<std::int64_t>("memberHeartbeatMs", {1, maxHeartbeatMs}, settings.memberHeartbeat.count())};
+    settings.configurationDeadline =
+        Milliseconds{reader.number<std::int64_t>("configurationDeadlineMs", {100, maxGraceMs}, settings.configurationDeadline.count())};
     settings.logLevel = reader.oneOf<LogLevel>("logLevel", logLevels, settings.logLevel);
     return settings;
 }
--- a/src/settings/sessionsettings.h
+++ b/src/settings/sessionsettings.h
@@ -39,6 +39,8 @@
     Milliseconds stopGrace{6000};
     /// Time between two signs of life of a member in the store.
     Milliseconds memberHeartbeat{1200};
+    /// Time within which an accepted configuration is to be in force.
+    Milliseconds configurationDeadline{3000};
     LogLevel logLevel = LogLevel::Info;
 
     [[nodiscard]] bool operator==(const SessionSettings &) const = default;
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -280,3 +280,40 @@
     });
     cr_assert(toPrimary <= 4, "%td connections", toPrimary);
 }
+
+// convenio-cantabrico-grown: 62 proxies and 40 connections a member; proxies that held a connection each refused each other all.
+Test(relay, moreProxiesThanConnectionsBorrowThemForAMoment)
+{
+    DriverOptions options;
+    options.memberConnections = 40;
+    options.liveProxies = 62;
+    RelayDriver driver(options);
+    driver.advance(1000);
+    cr_assert(driver.opens.empty(), "nothing is opened without need");
+    driver.open(1);
+    driver.say(1, StatementKind::Write);
+    driver.answerNext();
+    cr_assert(!driver.lastReply(1)->error);
+    cr_assert(driver.closedLinks.empty());
+    driver.advance(1000);
+    cr_assert(driver.closedLinks.size() == driver.opens.size(), "an idle connection is given back to the others");
+}
+
+// Seen on convenio-cantabrico scale-2: after a restart the fleet's records arrived before the configuration, and the process ended.
+Test(relay, recordsMayArriveBeforeTheConfiguration)
+{
+    Engine engine(FailureDomain{"a"}, 7);
+    const auto now = at(0);
+    engine.setPrimary(GroupName{"g"}, {MemberName{"p"}, 1, TimePoint::max(), false}, now);
+    MemberDirectory directory;
+    directory.put(RelayDriver::member("p", "a", true));
+    engine.setMembers(directory, now);
+    engine.setLiveProxies(1, now);
+    engine.wake(now + Seconds{1});
+    for (const auto &action : engine.takeActions()) {
+        if (const auto *open = std::get_if<OpenLink>(&action)) {
+            cr_assert(open->group == GroupName{"g"});
+            engine.linkOpened(open->link, std::nullopt, now + Seconds{1});
+        }
+    }
+}
