--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -38,7 +38,7 @@
 
 # The data path for callers whose session is a connection, and the event loop that it runs on.
 cardamomstep_library(evloop http)
-cardamomstep_library(relay base sessions requests connections)
+cardamomstep_library(relay base sessions requests connections membership)
 cardamomstep_test(relay)
 cardamomstep_library(leadership relay store)
 cardamomstep_test(leadership)
--- a/src/app/configurationservice.h
+++ b/src/app/configurationservice.h
@@ -6,8 +6,8 @@
 #include "app/taskpool.h"
 #include "configuration/spread.h"
 #include "peer/client.h"
-#include "store/storeclient.h"
 #include "records/catalog.h"
+#include "store/storeclient.h"
 
 #include <condition_variable>
 #include <functional>
--- a/src/app/membershipservice.h
+++ b/src/app/membershipservice.h
@@ -6,8 +6,8 @@
 #include "app/taskpool.h"
 #include "membership/view.h"
 #include "peer/client.h"
-#include "store/storeclient.h"
 #include "settings/settings.h"
+#include "store/storeclient.h"
 
 #include <functional>
 #include <memory>
--- a/src/cli/impl/explain.cpp
+++ b/src/cli/impl/explain.cpp
@@ -28,7 +28,8 @@
 int runExplain(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
 {
     constexpr std::size_t mostLogs = 10'000;
-    CommandLine line({"explain", "Tells a request's story from the logs of all proxies.", "LOG...", "cardamomstep explain --id 5c0e7a21 *.log"});
+    CommandLine line(
+        {"explain", "Tells a request's story from the logs of all proxies.", "LOG...", "cardamomstep explain --id 5c0e7a21 *.log"});
     line.add("id", "the statement's id", "ID");
     if (const auto done = line.parse(argc, argv, {1, mostLogs}, out, err)) {
         return *done;
@@ -46,7 +47,8 @@
     }
     const auto lines = story.lines();
     if (lines.empty()) {
-        err << "cardamomstep explain: no log tells of " << line.text("id") << "; it reached none of these processes, or its line was dropped\n";
+        err << "cardamomstep explain: no log tells of " << line.text("id")
+            << "; it reached none of these processes, or its line was dropped\n";
         return toInt(ExitCode::Failed);
     }
     out << "What was believed:\n";
--- a/src/cli/impl/read.cpp
+++ b/src/cli/impl/read.cpp
@@ -1,12 +1,12 @@
 // The subcommands `get`, `delete` and `check-settings`.
 #include "settings/read.h"
-#include "settings/sessionsettings.h"
 #include "cli/client.h"
 #include "cli/commandline.h"
 #include "cli/exitcode.h"
 #include "cli/impl/changeresult.h"
 #include "cli/impl/commands.h"
 #include "cli/impl/output.h"
+#include "settings/sessionsettings.h"
 
 #include <optional>
 #include <string>
--- a/src/cli/story.cpp
+++ b/src/cli/story.cpp
@@ -32,9 +32,7 @@
 
 void sortByTime(std::vector<LogLine> &lines)
 {
-    std::stable_sort(lines.begin(), lines.end(), [](const auto &left, const auto &right) {
-        return left.time < right.time;
-    });
+    std::stable_sort(lines.begin(), lines.end(), [](const auto &left, const auto &right) { return left.time < right.time; });
 }
 
 } // namespace
--- a/src/evloop/httpclient.cpp
+++ b/src/evloop/httpclient.cpp
@@ -138,8 +138,7 @@
         error_code ignored; // The connection is given up.
         socket_->close(ignored);
         // Handlers of the exchange may still be queued with the socket's address.
-        asio::post(loop_, [old = std::shared_ptr<asio::ip::tcp::socket>(std::move(socket_)), exchange] {
-        });
+        asio::post(loop_, [old = std::shared_ptr<asio::ip::tcp::socket>(std::move(socket_)), exchange] {});
         socket_.reset();
     }
     busy_ = false;
--- a/src/evloop/lineconnection.cpp
+++ b/src/evloop/lineconnection.cpp
@@ -205,10 +205,7 @@
     socket.set_option(KeepCount(keepCount), ignored);
 }
 
-void connect(asio::io_context &loop,
-             const Address &address,
-             Milliseconds timeout,
-             std::function<void(std::unique_ptr<tcp::socket>)> done)
+void connect(asio::io_context &loop, const Address &address, Milliseconds timeout, std::function<void(std::unique_ptr<tcp::socket>)> done)
 {
     struct Attempt {
         explicit Attempt(asio::io_context &context)
@@ -224,9 +221,7 @@
     error_code failure;
     const auto ip = place ? asio::ip::make_address_v4(place->ip, failure) : asio::ip::address_v4{};
     if (!place || failure) {
-        asio::post(loop, [done = std::move(done)] {
-            done(nullptr);
-        });
+        asio::post(loop, [done = std::move(done)] { done(nullptr); });
         return;
     }
     const auto attempt = std::make_shared<Attempt>(loop);
@@ -243,9 +238,7 @@
             finish(false);
         }
     });
-    attempt->socket->async_connect(tcp::endpoint(ip, place->port), [finish](const error_code &error) {
-        finish(!error);
-    });
+    attempt->socket->async_connect(tcp::endpoint(ip, place->port), [finish](const error_code &error) { finish(!error); });
 }
 
 } // namespace cardamomstep::evloop
--- a/src/fleet/client.h
+++ b/src/fleet/client.h
@@ -21,7 +21,8 @@
     FleetClient &operator=(const FleetClient &) = delete;
 
     void renew(const Address &proxy, const RenewRequest &request, Milliseconds timeout, std::function<void(Result<RenewReply>)> done);
-    void announce(const Address &proxy, const Announcement &announcement, Milliseconds timeout, std::function<void(Result<HoldReply>)> done);
+    void
+    announce(const Address &proxy, const Announcement &announcement, Milliseconds timeout, std::function<void(Result<HoldReply>)> done);
 
     /// Drops the connection to \a proxy, which is gone or silent; the next call makes a new one.
     void forget(const Address &proxy);
--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -18,28 +19,31 @@
     std::function<void(relay::SessionStatement statement)> statement;
     /// The connection ended; not called after close().
     std::function<void()> closed;
+    /// The proxy that the session is passed on to; nothing when this process serves it.
+    std::function<std::optional<Address>(const relay::DatabaseName &database)> forward;
+    /// A proxy could not be reached, or did not answer.
+    std::function<void(const Address &proxy)> forwardFailed;
 };
 
 /// One caller's connection; statements are reported one at a time, the next one after reply().
+///
+/// A session that another proxy serves is passed on line by line; the answers come back unchanged.
 template<relay::WireCodec Wire>
 class CallerLink : public std::enable_shared_from_this<CallerLink<Wire>>
 {
 public:
-    CallerLink(boost::asio::ip::tcp::socket socket, CallerLinkHandlers handlers)
-        : connection_(std::make_shared<evloop::LineConnection>(std::move(socket), evloop::LineLimits{Wire::maxMessage}))
+    CallerLink(boost::asio::io_context &loop, boost::asio::ip::tcp::socket socket, CallerLinkHandlers handlers)
+        : loop_(loop)
+        , silence_(loop)
+        , connection_(std::make_shared<evloop::LineConnection>(std::move(socket), evloop::LineLimits{Wire::maxMessage}))
         , handlers_(std::move(handlers))
     {
     }
 
     void start()
     {
-        connection_->start(
-            [self = this->shared_from_this()](std::string_view line) {
-                self->take(line);
-            },
-            [self = this->shared_from_this()](evloop::LineEnd reason) {
-                self->ended(reason);
-            });
+        connection_->start([self = this->shared_from_this()](std::string_view line) { self->take(line); },
+                           [self = this->shared_from_this()](evloop::LineEnd reason) { self->ended(reason); });
     }
 
     /// Sends the answer to the statement under way.
@@ -56,14 +60,36 @@
     {
         handlers_ = {};
         connection_->closeWhenSent();
+        dropUpstream();
+    }
+
+    /// True when another proxy serves the session.
+    [[nodiscard]] bool forwarded() const noexcept
+    {
+        return upstream_ != nullptr;
+    }
+
+    /// Ends a forwarded session as soon as it rests; true when it rests now.
+    [[nodiscard]] bool endWhenResting() noexcept
+    {
+        ending_ = true;
+        return !outstanding_ && state_ == relay::SessionState::Idle;
     }
 
 private:
+    /// Longest time to reach another proxy, and to hear from it while a statement is under way.
+    static constexpr Milliseconds forwardConnect{300};
+    static constexpr Milliseconds forwardSilence{2500};
+
     void take(std::string_view line)
     {
+        if (upstream_) {
+            passOn(line);
+            return;
+        }
         auto message = Wire::parseCaller(line);
         if (auto *start = std::get_if<relay::StartSession>(&message)) {
-            open(*start);
+            open(*start, std::string(line));
         } else if (auto *statement = std::get_if<relay::SessionStatement>(&message); statement != nullptr && started_) {
             connection_->pause();
             if (handlers_.statement) {
@@ -76,13 +102,26 @@
         }
     }
 
-    void open(const relay::StartSession &start)
+    void open(const relay::StartSession &start, const std::string &line)
     {
         if (std::exchange(started_, true)) {
             refuse(Error{ErrorKind::MalformedRequest, "the session is open already"});
             return;
         }
-        const auto opened = handlers_.opened ? handlers_.opened(start.database) : Result<Success>(Error{});
+        const auto proxy = handlers_.forward ? handlers_.forward(start.database) : std::nullopt;
+        if (!proxy) {
+            openHere(start.database);
+            return;
+        }
+        connection_->pause();
+        evloop::connect(loop_, *proxy, forwardConnect, [self = this->shared_from_this(), proxy = *proxy, start, line](auto socket) {
+            self->reached(std::move(socket), proxy, start, line);
+        });
+    }
+
+    void openHere(const relay::DatabaseName &database)
+    {
+        const auto opened = handlers_.opened ? handlers_.opened(database) : Result<Success>(Error{});
         if (!opened) {
             refuse(opened.error());
             return;
@@ -92,6 +131,86 @@
         connection_->send(text);
     }
 
+    /// The other proxy was reached, or not; then the session is served here.
+    void reached(std::unique_ptr<boost::asio::ip::tcp::socket> socket,
+                 const Address &proxy,
+                 const relay::StartSession &start,
+                 const std::string &line)
+    {
+        if (!handlers_.closed) {
+            return;
+        }
+        if (!socket) {
+            handlers_.forwardFailed(proxy);
+            openHere(start.database);
+            connection_->resume();
+            return;
+        }
+        proxy_ = proxy;
+        upstream_ = std::make_shared<evloop::LineConnection>(std::move(*socket), evloop::LineLimits{Wire::maxMessage});
+        upstream_->start([self = this->shared_from_this()](std::string_view answer) { self->passBack(answer); },
+                         [self = this->shared_from_this()](evloop::LineEnd) { self->upstreamEnded(); });
+        sendUpstream(line);
+    }
+
+    void passOn(std::string_view line)
+    {
+        const auto message = Wire::parseCaller(line);
+        if (std::holds_alternative<relay::EndSession>(message)) {
+            finish();
+            return;
+        }
+        connection_->pause();
+        sendUpstream(line);
+    }
+
+    void sendUpstream(std::string_view line)
+    {
+        outstanding_ = true;
+        upstream_->send(std::string(line) + "\r\n");
+        silence_.expires_after(forwardSilence);
+        silence_.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error && self->outstanding_ && self->upstream_) {
+                self->upstreamEnded();
+            }
+        });
+    }
+
+    void passBack(std::string_view line)
+    {
+        connection_->send(std::string(line) + "\r\n");
+        const auto message = Wire::parseMember(line);
+        const auto *ready = std::get_if<relay::MemberReady>(&message);
+        if (ready == nullptr) {
+            return;
+        }
+        outstanding_ = false;
+        state_ = ready->state;
+        silence_.cancel();
+        if (ending_ && state_ == relay::SessionState::Idle) {
+            finish();
+            return;
+        }
+        connection_->resume();
+    }
+
+    /// The proxy that serves the session ended it, or is gone.
+    void upstreamEnded()
+    {
+        if (outstanding_ && handlers_.forwardFailed) {
+            handlers_.forwardFailed(proxy_);
+        }
+        finish();
+    }
+
+    void dropUpstream()
+    {
+        silence_.cancel();
+        if (upstream_) {
+            std::exchange(upstream_, nullptr)->abort();
+        }
+    }
+
     void refuse(const Error &error)
     {
         std::string text;
@@ -105,6 +224,7 @@
     {
         const auto closed = std::exchange(handlers_, {}).closed;
         connection_->closeWhenSent();
+        dropUpstream();
         if (closed) {
             closed();
         }
@@ -120,14 +240,24 @@
             connection_->abort();
         }
         const auto closed = std::exchange(handlers_, {}).closed;
+        dropUpstream();
         if (closed) {
             closed();
         }
     }
 
+    boost::asio::io_context &loop_;
+    boost::asio::steady_timer silence_;
     std::shared_ptr<evloop::LineConnection> connection_;
     CallerLinkHandlers handlers_;
     bool started_ = false;
+    /// The connection to the proxy that serves the session; null when this process does.
+    std::shared_ptr<evloop::LineConnection> upstream_;
+    Address proxy_;
+    /// A forwarded line is not answered yet.
+    bool outstanding_ = false;
+    relay::SessionState state_ = relay::SessionState::Idle;
+    bool ending_ = false;
 };
 
 } // namespace cardamomstep::gateway
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -55,13 +55,9 @@
         const auto next = resume_.next(complete_, now);
         const auto self = this->shared_from_this();
         if (std::holds_alternative<ListAll>(next)) {
-            store_.list(kind_, listTimeout, [self](const Result<StoreListing> &listing) {
-                self->onListing(listing);
-            });
+            store_.list(kind_, listTimeout, [self](const Result<StoreListing> &listing) { self->onListing(listing); });
         } else if (const auto *watch = std::get_if<WatchAfter>(&next)) {
-            store_.watch(kind_, watch->after, watch->wait, [self](const Result<StoreChanges> &changes) {
-                self->onChanges(changes);
-            });
+            store_.watch(kind_, watch->after, watch->wait, [self](const Result<StoreChanges> &changes) { self->onChanges(changes); });
         } else {
             stepAfter(std::get<PauseUntil>(next).time - now);
         }
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -13,6 +13,7 @@
 #include "leadership/viewbook.h"
 #include "leadership/viewtree.h"
 #include "logging/log.h"
+#include "membership/rendezvous.h"
 #include "relay/engine.h"
 #include "settings/sessionsettings.h"
 
@@ -68,6 +69,8 @@
     std::function<void(LogLevel level, std::string_view event, const std::vector<LogField> &fields)> log;
     /// Carries out what the engine asks for.
     std::function<void()> perform;
+    /// The registered proxies changed.
+    std::function<void()> proxiesChanged;
 };
 
 /// The leadership of one process; \a Store and \a Promoter are the platform's services.
@@ -109,6 +112,16 @@
         return now < views_.validUntil() + Milliseconds{500};
     }
 
+    /// The registered proxies that take sessions of others, as targets of sessions.
+    [[nodiscard]] std::vector<LiveInstance> sessionTargets() const
+    {
+        std::vector<LiveInstance> targets;
+        for (const auto &[instance, entry] : proxies_) {
+            targets.push_back({instance, entry.first.failureDomain, entry.first.sessions});
+        }
+        return targets;
+    }
+
     /// Gives the lease back. The entry in the store stays: an instance that stops most often starts again.
     void leave()
     {
@@ -159,7 +172,8 @@
 
     void register_()
     {
-        const auto value = leadership::encode(leadership::ProxyEntry{settings_.instance, settings_.listen.peers});
+        const auto value = leadership::encode(
+            leadership::ProxyEntry{settings_.instance, settings_.listen.peers, settings_.listen.sessions, settings_.failureDomain});
         const auto key = leadership::proxyKey(settings_.instance);
         store_.create(key, value, limits_.storeTimeout, [this, key, value](const Result<StoredObject> &created) {
             if (created) {
@@ -196,9 +210,15 @@
             proxiesChanged();
             viewsChanged(now);
         };
-        handlers.failed = [](const Error &) {};
-        follower_ = std::make_shared<Follower<Store>>(
-            loop_, Store(loop_, settings_.store), leadership::fleetKind(), limits_.watch, limits_.watchSettle, random_(), std::move(handlers));
+        handlers.failed = [](const Error &) {
+        };
+        follower_ = std::make_shared<Follower<Store>>(loop_,
+                                                      Store(loop_, settings_.store),
+                                                      leadership::fleetKind(),
+                                                      limits_.watch,
+                                                      limits_.watchSettle,
+                                                      random_(),
+                                                      std::move(handlers));
         follower_->step();
     }
 
@@ -220,10 +240,8 @@
         for (const auto &[instance, entry] : proxies_) {
             names.push_back(instance);
         }
-        if (liveProxies_ == 0) {
-            host_.engine.setLiveProxies(static_cast<std::uint32_t>(names.size()), evloop::bootTimeNow());
-        }
         tree_.setProxies(std::move(names));
+        host_.proxiesChanged();
     }
 
     /// Reads the stored lease, which few proxies need and only while no holder is heard of.
@@ -263,9 +281,10 @@
             const auto before = lease_.holder();
             lease_.observe(object.deleted ? std::nullopt : std::optional(*lease), now);
             if (before != lease_.holder()) {
-                host_.log(LogLevel::Info,
-                          "lease_seen",
-                          {{"holder", lease_.holder().text()}, {"before", before.text()}, {"fence", static_cast<std::int64_t>(lease->fence)}});
+                host_.log(
+                    LogLevel::Info,
+                    "lease_seen",
+                    {{"holder", lease_.holder().text()}, {"before", before.text()}, {"fence", static_cast<std::int64_t>(lease->fence)}});
             }
             if (held && !lease_.holds(now)) {
                 lostLease();
@@ -278,7 +297,7 @@
                 clients_.erase(proxy->instance);
                 heard_.erase(proxy->instance);
             } else {
-                proxies_[proxy->instance] = {proxy->address, object.version};
+                proxies_[proxy->instance] = {*proxy, object.version};
                 heard_.try_emplace(proxy->instance, now);
             }
         }
@@ -438,7 +457,7 @@
         }
         renewing_ = true;
         renewedAt_ = now;
-        const auto address = source->second.first;
+        const auto address = source->second.first.address;
         client_.renew(address, renewRequest(now), limits_.renewTimeout, [this, now, address](Result<fleet::RenewReply> reply) {
             boost::asio::post(loop_, [this, now, address, reply = std::move(reply)] {
                 renewing_ = false;
@@ -507,7 +526,6 @@
         views_.renew(reply->records, askedAt - reply->age);
         if (reply->liveProxies > 0) {
             liveProxies_ = reply->liveProxies;
-            host_.engine.setLiveProxies(reply->liveProxies, now);
         }
         viewsChanged(now);
         // A holder that the store does not answer yields to one that it does; so this process finds out whether it does.
@@ -543,14 +561,10 @@
     {
         fleet::FleetHandlers handlers;
         handlers.renew = [this](fleet::RenewRequest request, std::function<void(fleet::RenewReply)> answer) {
-            boost::asio::post(loop_, [this, request = std::move(request), answer = std::move(answer)] {
-                answer(grant(request));
-            });
+            boost::asio::post(loop_, [this, request = std::move(request), answer = std::move(answer)] { answer(grant(request)); });
         };
         handlers.announce = [this](const fleet::Announcement &announcement, std::function<void(fleet::HoldReply)> answer) {
-            boost::asio::post(loop_, [this, announcement, answer = std::move(answer)] {
-                takeAnnouncement(announcement, answer);
-            });
+            boost::asio::post(loop_, [this, announcement, answer = std::move(answer)] { takeAnnouncement(announcement, answer); });
         };
         return handlers;
     }
@@ -619,16 +633,14 @@
     }
 
     /// Answers once nothing with lasting effects is in flight at the group's primary, at the latest at \a until.
-    void
-    holdThenAnswer(const leadership::GroupRecord &record, TimePoint until, const std::function<void(fleet::HoldReply)> &answer)
+    void holdThenAnswer(const leadership::GroupRecord &record, TimePoint until, const std::function<void(fleet::HoldReply)> &answer)
     {
         constexpr Milliseconds step{10};
         const auto now = evloop::bootTimeNow();
         if (record.moving && now < until && host_.engine.lastingInFlight(record.group) > 0) {
             const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, step);
-            timer->async_wait([this, record, until, answer, timer](const boost::system::error_code &) {
-                holdThenAnswer(record, until, answer);
-            });
+            timer->async_wait(
+                [this, record, until, answer, timer](const boost::system::error_code &) { holdThenAnswer(record, until, answer); });
             return;
         }
         if (record.moving) {
@@ -646,7 +658,6 @@
             return;
         }
         views_.renew(views_.all(), std::min(now, lease_.validUntil() - leadership::viewLease));
-        host_.engine.setLiveProxies(liveProxies(now), now);
         viewsChanged(now);
         // Views that an earlier holder granted have ended by then.
         const bool mayMove = now - lease_.takenAt() >= leadership::viewLease;
@@ -781,19 +792,14 @@
     bool hasSuccessor(const leadership::GroupRecord &record) const
     {
         const auto members = host_.directory.membersOf(record.group);
-        return std::any_of(members.begin(), members.end(), [&record](const auto &member) {
-            return member.name != record.primary && !member.draining;
-        });
+        return std::any_of(
+            members.begin(), members.end(), [&record](const auto &member) { return member.name != record.primary && !member.draining; });
     }
 
     void step(const GroupName &group, leadership::Promotion &move, TimePoint now)
     {
         for (auto &action : move.next(now)) {
-            std::visit(
-                [this, &group](const auto &what) {
-                    carryOut(group, what);
-                },
-                action);
+            std::visit([this, &group](const auto &what) { carryOut(group, what); }, action);
         }
     }
 
@@ -854,7 +860,8 @@
                 if (record == nullptr || record->group != group) {
                     continue;
                 }
-                const bool same = record->primary == wanted.primary && record->generation == wanted.generation && record->moving == wanted.moving;
+                const bool same =
+                    record->primary == wanted.primary && record->generation == wanted.generation && record->moving == wanted.moving;
                 if (same && record->revision != wanted.revision) {
                     recordStored(group, wanted, record->revision);
                     return;
@@ -892,7 +899,8 @@
         viewsChanged(now);
         for (const auto &[instance, entry] : proxies_) {
             if (instance != settings_.instance) {
-                client_.announce(entry.first, fleet::Announcement{record, Milliseconds{0}}, limits_.announceTimeout, [](const auto &) {});
+                client_.announce(
+                    entry.first.address, fleet::Announcement{record, Milliseconds{0}}, limits_.announceTimeout, [](const auto &) {});
             }
         }
     }
@@ -931,7 +939,7 @@
         if (proxy == proxies_.end()) {
             return;
         }
-        client_.announce(proxy->second.first,
+        client_.announce(proxy->second.first.address,
                          fleet::Announcement{action.record, action.drain},
                          limits_.announceTimeout,
                          [this, took](Result<fleet::HoldReply> reply) {
@@ -1069,8 +1077,8 @@
     fleet::FleetClient client_;
     std::unique_ptr<fleet::FleetServer> server_;
     std::shared_ptr<Follower<Store>> follower_;
-    /// Registered proxies: address and revision of the entry.
-    std::map<InstanceName, std::pair<Address, Revision>> proxies_;
+    /// Registered proxies and the revisions of their entries.
+    std::map<InstanceName, std::pair<leadership::ProxyEntry, Revision>> proxies_;
     /// When each proxy last renewed its view here, or was first seen.
     std::map<InstanceName, TimePoint> heard_;
     std::map<GroupName, relay::PrimaryBelief> told_;
--- a/src/gateway/memberlink.h
+++ b/src/gateway/memberlink.h
@@ -76,13 +76,8 @@
     void introduce(boost::asio::ip::tcp::socket socket, const GroupName &group, const MemberName &member)
     {
         connection_ = std::make_shared<evloop::LineConnection>(std::move(socket), evloop::LineLimits{Wire::maxMessage});
-        connection_->start(
-            [self = this->shared_from_this()](std::string_view line) {
-                self->take(line);
-            },
-            [self = this->shared_from_this()](evloop::LineEnd) {
-                self->end(std::nullopt);
-            });
+        connection_->start([self = this->shared_from_this()](std::string_view line) { self->take(line); },
+                           [self = this->shared_from_this()](evloop::LineEnd) { self->end(std::nullopt); });
         std::string text;
         Wire::appendMemberStart(text, group, member);
         connection_->send(text);
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -11,6 +11,7 @@
 #include "logging/boundedlog.h"
 #include "metrics/metrics.h"
 #include "relay/engine.h"
+#include "relay/placement.h"
 #include "settings/sessionsettings.h"
 
 #include <utility>
@@ -30,10 +31,14 @@
     /// Pause after news from the store.
     Milliseconds watchSettle{250};
     BackoffOptions watchBackoff{Milliseconds{60}, Milliseconds{800}};
+    /// A proxy that could not be reached gets no sessions for this long.
+    Milliseconds targetPause{3000};
     /// Time between two writes of the log.
     Milliseconds logInterval{100};
     /// Time that a stopping proxy goes on taking new connections.
     Milliseconds acceptAfterStop{2500};
+    /// Time after that for connections that were accepted last.
+    Milliseconds lastConnections{250};
 };
 
 /// One process on the platform; \a Wire is the line format, \a Store and \a Promoter the platform's services.
@@ -49,6 +54,7 @@
         , engine_(settings.failureDomain, seedOf(settings))
         , leadership_(loop, settings, seedOf(settings), leaderHost())
         , acceptor_(loop)
+        , sessionAcceptor_(loop)
         , wakeTimer_(loop)
         , logTimer_(loop)
     {
@@ -63,12 +69,23 @@
             opened = serveReadiness();
         }
         if (opened && !settings_.listen.metrics.empty()) {
-            opened = serveMetrics();
+            // Callers are served without metrics, too.
+            const auto metrics = serveMetrics();
+            if (!metrics) {
+                log(LogLevel::Warning, "metrics_not_served", {{"fault", metrics.error().description}});
+            }
         }
         if (!opened) {
             return opened;
         }
-        accept();
+        if (!settings_.listen.sessions.empty()) {
+            opened = evloop::openAcceptor(sessionAcceptor_, settings_.listen.sessions);
+            if (!opened) {
+                return opened;
+            }
+            accept(sessionAcceptor_, true);
+        }
+        accept(acceptor_, false);
         followConfiguration();
         followMembers();
         scheduleLog();
@@ -101,6 +118,7 @@
         stoppingSince_ = now;
         log(LogLevel::Info, "stop", {{"sessions", static_cast<std::int64_t>(engine_.callers())}});
         leadership_.leave();
+        endForwarded();
         engine_.drain(now + settings_.stopGrace / 2, now);
         perform();
         checkStopped();
@@ -120,9 +138,13 @@
         const auto write = [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
             log(level, event, fields);
         };
-        return LeaderHost{engine_, directory_, write, [this] {
-                              perform();
-                          }};
+        const auto perform = [this] {
+            this->perform();
+        };
+        const auto proxiesChanged = [this] {
+            placeSessions();
+        };
+        return LeaderHost{engine_, directory_, write, perform, proxiesChanged};
     }
 
     void log(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
@@ -153,23 +175,32 @@
         return !engine_.draining() && engine_.routes().known() && membersKnown_ && leadership_.viewCurrent(evloop::bootTimeNow());
     }
 
-    void accept()
+    /// Accepts connections; those of other proxies bring sessions that are served here and not passed on again.
+    void accept(boost::asio::ip::tcp::acceptor &acceptor, bool passedOn)
     {
-        acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+        acceptor.async_accept([this, &acceptor, passedOn](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
             if (error == boost::asio::error::operation_aborted) {
                 return;
             }
             if (!error) {
-                addCaller(std::move(socket));
+                addCaller(std::move(socket), passedOn);
             }
-            accept();
+            accept(acceptor, passedOn);
         });
     }
 
-    void addCaller(boost::asio::ip::tcp::socket socket)
+    void addCaller(boost::asio::ip::tcp::socket socket, bool passedOn)
     {
         const auto key = nextCaller_++;
         CallerLinkHandlers handlers;
+        if (!passedOn) {
+            handlers.forward = [this, key](const relay::DatabaseName &database) {
+                return forwardTarget(database, key);
+            };
+        }
+        handlers.forwardFailed = [this](const Address &proxy) {
+            forwardFailed(proxy);
+        };
         handlers.opened = [this, key](const relay::DatabaseName &database) {
             auto opened = engine_.callerOpened(key, database, evloop::bootTimeNow());
             perform();
@@ -185,11 +216,65 @@
             perform();
             checkStopped();
         };
-        const auto caller = std::make_shared<Caller>(std::move(socket), std::move(handlers));
+        const auto caller = std::make_shared<Caller>(loop_, std::move(socket), std::move(handlers));
         callers_.emplace(key, caller);
         caller->start();
     }
 
+    // Placement of sessions
+
+    /// Works out anew which proxies hold connections to which members.
+    void placeSessions()
+    {
+        const auto now = evloop::bootTimeNow();
+        auto targets = leadership_.sessionTargets();
+        std::erase_if(targets, [this, now](const LiveInstance &target) {
+            const auto failed = failedTargets_.find(target.address);
+            return target.name != settings_.instance && failed != failedTargets_.end() && now < failed->second;
+        });
+        targets_ = InstanceSet(std::move(targets));
+        self_ = {settings_.instance, settings_.failureDomain, settings_.listen.sessions};
+        for (const auto &[group, config] : engine_.routes().groups()) {
+            const auto holders = holdersOf(config);
+            const bool holds = !relay::forwardTo(targets_, holders, group, self_, 0);
+            engine_.setSharers(group, holds ? holders.sharers : 0);
+        }
+    }
+
+    relay::Holders holdersOf(const relay::GroupConfig &config) const
+    {
+        const auto reserve = relay::EngineLimits{}.reservedConnections;
+        const auto connections = config.memberConnections > reserve ? config.memberConnections - reserve : config.memberConnections;
+        auto holders = relay::holdersFor(targets_, connections);
+        if (settings_.listen.sessions.empty()) {
+            holders.perDomain = 0;
+        }
+        return holders;
+    }
+
+    /// Where a session for \a database is passed on to, if it is.
+    std::optional<Address> forwardTarget(const relay::DatabaseName &database, relay::CallerKey caller)
+    {
+        const auto now = evloop::bootTimeNow();
+        const auto *route = engine_.routes().find(database);
+        const auto *config = route == nullptr ? nullptr : engine_.routes().group(route->group);
+        if (config == nullptr || engine_.draining()) {
+            return std::nullopt;
+        }
+        if (std::erase_if(failedTargets_, [now](const auto &failed) { return now >= failed.second; }) > 0) {
+            placeSessions();
+        }
+        const auto target = relay::forwardTo(targets_, holdersOf(*config), route->group, self_, caller);
+        return target ? std::optional(target->address) : std::nullopt;
+    }
+
+    void forwardFailed(const Address &proxy)
+    {
+        log(LogLevel::Warning, "forward_failed", {{"proxy", proxy.text()}});
+        failedTargets_[proxy] = evloop::bootTimeNow() + limits_.targetPause;
+        placeSessions();
+    }
+
     // Store
 
     WatchResumeOptions watchOptions(Milliseconds wait) const
@@ -239,6 +324,7 @@
         const auto now = evloop::bootTimeNow();
         const auto before = engine_.routes().version();
         engine_.configure(*configuration, now);
+        placeSessions();
         engine_.setMembers(directory_, now);
         log(LogLevel::Info,
             "configuration",
@@ -346,11 +432,7 @@
         performing_ = true;
         for (auto actions = engine_.takeActions(); !actions.empty(); actions = engine_.takeActions()) {
             for (auto &action : actions) {
-                std::visit(
-                    [this](auto &what) {
-                        carryOut(what);
-                    },
-                    action);
+                std::visit([this](auto &what) { carryOut(what); }, action);
             }
         }
         performing_ = false;
@@ -429,6 +511,23 @@
         log(action.level, action.event, action.fields);
     }
 
+    /// Ends the sessions that are passed on, each as it comes to rest.
+    void endForwarded()
+    {
+        std::vector<std::shared_ptr<Caller>> resting;
+        for (auto caller = callers_.begin(); caller != callers_.end();) {
+            if (caller->second->forwarded() && caller->second->endWhenResting()) {
+                resting.push_back(caller->second);
+                caller = callers_.erase(caller);
+            } else {
+                ++caller;
+            }
+        }
+        for (const auto &caller : resting) {
+            caller->close();
+        }
+    }
+
     // Time
 
     void scheduleWake()
@@ -468,14 +567,21 @@
             return;
         }
         const auto since = evloop::bootTimeNow() - *stoppingSince_;
+        if (since >= limits_.acceptAfterStop && acceptor_.is_open()) {
+            // A caller that connects from here on is turned away at once and goes elsewhere; those in the queue are still served.
+            boost::system::error_code ignored; // It listens no more in either case.
+            acceptor_.close(ignored);
+            sessionAcceptor_.close(ignored);
+        }
         const bool outOfTime = since >= settings_.stopGrace * 9 / 10;
-        const bool done = engine_.callers() == 0 && since >= limits_.acceptAfterStop;
+        const bool done = callers_.empty() && since >= limits_.acceptAfterStop + limits_.lastConnections;
         if (!done && !outOfTime) {
             return;
         }
         log(LogLevel::Info,
             "stopped",
-            {{"sessions", static_cast<std::int64_t>(engine_.callers())}, {"after_ms", static_cast<std::int64_t>(wholeMilliseconds(since).count())}});
+            {{"sessions", static_cast<std::int64_t>(callers_.size())},
+             {"after_ms", static_cast<std::int64_t>(wholeMilliseconds(since).count())}});
         log_.flush();
         leadership_.stop();
         loop_.stop();
@@ -492,6 +598,12 @@
     LeaderShell<Wire, Store, Promoter> leadership_;
     bool membersKnown_ = false;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::acceptor sessionAcceptor_;
+    /// Proxies that sessions may be passed on to, this one included.
+    InstanceSet targets_;
+    LiveInstance self_;
+    /// Proxies that could not be reached, and until when they get no sessions.
+    std::map<Address, TimePoint> failedTargets_;
     std::shared_ptr<evloop::HttpServer> readiness_;
     std::shared_ptr<evloop::HttpServer> metricsServer_;
     std::shared_ptr<Follower<Store>> configuration_;
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -191,9 +191,7 @@
     if (now >= recordedAt_ + viewLease + limits_.viewMargin) {
         return true;
     }
-    return proxies_ && std::all_of(proxies_->begin(), proxies_->end(), [this](const auto &proxy) {
-               return held_.contains(proxy);
-           });
+    return proxies_ && std::all_of(proxies_->begin(), proxies_->end(), [this](const auto &proxy) { return held_.contains(proxy); });
 }
 
 /// True when every proxy told all that was acknowledged to callers.
@@ -225,9 +223,8 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const auto longest = std::max_element(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
-        return left.received < right.received;
-    });
+    const auto longest = std::max_element(
+        candidates.begin(), candidates.end(), [](const auto &left, const auto &right) { return left.received < right.received; });
     const auto needed = allProxiesKnown() ? std::min(acknowledged_, longest->received) : longest->received;
     std::optional<Candidate> chosen;
     for (const auto &candidate : candidates) {
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -64,7 +64,8 @@
 
 std::string encode(const ProxyEntry &entry)
 {
-    return Json{{"address", entry.address.text()}}.dump();
+    return Json{{"address", entry.address.text()}, {"sessions", entry.sessions.text()}, {"failureDomain", entry.failureDomain.text()}}
+        .dump();
 }
 
 FleetObject decodeFleetObject(const StoredObject &object)
@@ -93,7 +94,10 @@
         return record;
     }
     if (name.starts_with(proxyPrefix)) {
-        return ProxyEntry{InstanceName{std::string(name.substr(proxyPrefix.size()))}, Address{textOf(value, "address")}};
+        return ProxyEntry{InstanceName{std::string(name.substr(proxyPrefix.size()))},
+                          Address{textOf(value, "address")},
+                          Address{textOf(value, "sessions")},
+                          FailureDomain{textOf(value, "failureDomain")}};
     }
     return std::monostate{};
 }
--- a/src/leadership/recordjson.h
+++ b/src/leadership/recordjson.h
@@ -17,6 +17,11 @@
     InstanceName instance;
     /// Where other proxies reach it.
     Address address;
+    /// Where other proxies pass sessions on to it; empty when it takes none.
+    Address sessions;
+    FailureDomain failureDomain;
+
+    [[nodiscard]] bool operator==(const ProxyEntry &) const = default;
 };
 
 /// Kind of the records and the proxies' entries, which every proxy watches.
--- a/src/leadership/viewtree.cpp
+++ b/src/leadership/viewtree.cpp
@@ -41,7 +41,8 @@
 bool ViewTree::readsStore(const InstanceName &self) const
 {
     const auto readers = std::min(std::max(relays(), storeReaders), ranked_.size());
-    return std::find(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(readers), self) != ranked_.begin() + static_cast<std::ptrdiff_t>(readers);
+    return std::find(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(readers), self)
+        != ranked_.begin() + static_cast<std::ptrdiff_t>(readers);
 }
 
 } // namespace cardamomstep::leadership
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -34,7 +34,8 @@
     for (const auto &[name, config] : routes_.groups()) {
         auto &group = groupState(name);
         group.config = config;
-        share(group, now);
+        share(group);
+        pump(group, now);
     }
 }
 
@@ -66,7 +67,7 @@
             }
             ++pool;
         }
-        share(group, now);
+        share(group);
         pump(group, now);
     }
 }
@@ -110,24 +111,23 @@
     }
 }
 
-void Engine::setLiveProxies(std::uint32_t count, TimePoint now)
+void Engine::setSharers(const GroupName &name, std::uint32_t sharers)
 {
-    if (count == liveProxies_ || count == 0) {
+    auto &group = groupState(name);
+    if (group.sharers == sharers) {
         return;
     }
-    liveProxies_ = count;
-    for (auto &[name, group] : groups_) {
-        share(group, now);
-    }
+    group.sharers = sharers;
+    share(group);
 }
 
 /// Deals the members' connections out: a fair share for each proxy, and what others leave unused.
-void Engine::share(Group &group, TimePoint /*now*/)
+void Engine::share(Group &group)
 {
     const auto limit = group.config.memberConnections;
     const auto planned = limit > limits_.reservedConnections ? limit - limits_.reservedConnections : limit;
     // With more proxies than connections the fair share is none: links are opened for a statement and closed soon after.
-    const auto fair = liveProxies_ == 0 ? 0 : planned / liveProxies_;
+    const auto fair = group.sharers == 0 ? 0 : planned / group.sharers;
     const auto most = std::max<std::uint32_t>(limits_.leastBorrowed, std::min<std::uint32_t>(planned, fair * 2));
     for (auto &[name, pool] : group.pools) {
         pool.setAllowed(fair, most);
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -87,8 +87,8 @@
     [[nodiscard]] std::size_t lastingInFlight(const GroupName &group) const;
     /// Ends what is still open at the group's primary: nothing that it answers from now on counts as acknowledged.
     void seal(const GroupName &group, TimePoint now);
-    /// Sets how many proxies share the members' connections, this one included.
-    void setLiveProxies(std::uint32_t count, TimePoint now);
+    /// Sets how many proxies share the connections of \a group's members, this one included; 0 when this one holds none of its own.
+    void setSharers(const GroupName &group, std::uint32_t sharers);
 
     // Callers.
 
@@ -177,6 +177,8 @@
 
     struct Group {
         GroupConfig config;
+        /// Proxies that share the members' connections; 0 while unknown, or when this process holds none of its own.
+        std::uint32_t sharers = 0;
         PrimaryBelief primary;
         FreshnessHistory history;
         std::map<MemberName, MemberPool> pools;
@@ -224,7 +226,7 @@
     void lineUp(const Caller &caller, Link &link, std::vector<MemberRequest> &requests, TimePoint now);
     void await(Link &link, ReplyPurpose purpose, TimePoint now, Milliseconds patience);
     void probe(Group &group, TimePoint now);
-    void share(Group &group, TimePoint now);
+    void share(Group &group);
 
     // Links (enginelinks.cpp)
     [[nodiscard]] Link *findLink(LinkKey key, Group **group, MemberPool **pool);
@@ -234,7 +236,8 @@
     void release(Link &link, Group &group, TimePoint now);
     void rollBack(Link &link, TimePoint now);
     void dropLink(LinkKey key, Group &group, MemberPool &pool);
-    void learnPosition(Group &group, MemberPool &pool, const Link &link, const AwaitedReply &awaited, const MemberReply &reply, TimePoint now);
+    void
+    learnPosition(Group &group, MemberPool &pool, const Link &link, const AwaitedReply &awaited, const MemberReply &reply, TimePoint now);
     void wakeLinks(Group &group, TimePoint now);
 
     FailureDomain own_;
@@ -242,8 +245,6 @@
     Random random_;
     RouteBook routes_;
     RetryBudget budget_;
-    /// Proxies that share the members' connections; 0 while unknown.
-    std::uint32_t liveProxies_ = 0;
     std::unordered_map<CallerKey, Caller> callers_;
     std::map<GroupName, Group> groups_;
     std::unordered_map<LinkKey, std::pair<GroupName, MemberName>> links_;
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -117,9 +117,7 @@
 void Engine::dequeue(CallerKey key, Caller &caller)
 {
     auto &waiting = groupState(caller.group).waiting;
-    std::erase_if(waiting, [key](const auto &place) {
-        return place.second == key;
-    });
+    std::erase_if(waiting, [key](const auto &place) { return place.second == key; });
 }
 
 void Engine::answer(CallerKey key, Caller &caller, CallerReply reply, TimePoint now)
--- a/src/relay/enginelending.cpp
+++ b/src/relay/enginelending.cpp
@@ -200,9 +200,8 @@
 void Engine::lineUp(const Caller &caller, Link &link, std::vector<MemberRequest> &requests, TimePoint now)
 {
     const auto &values = caller.session.values();
-    const bool surplus = std::any_of(link.values.begin(), link.values.end(), [&values](const auto &held) {
-        return !values.contains(held.first);
-    });
+    const bool surplus =
+        std::any_of(link.values.begin(), link.values.end(), [&values](const auto &held) { return !values.contains(held.first); });
     const auto add = [&](MemberRequest request) {
         requests.push_back(std::move(request));
         await(link, ReplyPurpose::Setup, now, ownPatience);
--- a/src/relay/memberpool.cpp
+++ b/src/relay/memberpool.cpp
@@ -15,9 +15,8 @@
         const auto held = link.values.find(name);
         differing += held == link.values.end() || held->second != value ? 1 : 0;
     }
-    const bool surplus = std::any_of(link.values.begin(), link.values.end(), [&values](const auto &held) {
-        return !values.contains(held.first);
-    });
+    const bool surplus =
+        std::any_of(link.values.begin(), link.values.end(), [&values](const auto &held) { return !values.contains(held.first); });
     return surplus ? values.size() + link.prepared.size() + 1 : differing;
 }
 
@@ -76,9 +75,8 @@
 
 std::uint32_t MemberPool::count(LinkPhase phase) const noexcept
 {
-    return static_cast<std::uint32_t>(std::count_if(links_.begin(), links_.end(), [phase](const auto &entry) {
-        return entry.second.phase == phase;
-    }));
+    return static_cast<std::uint32_t>(
+        std::count_if(links_.begin(), links_.end(), [phase](const auto &entry) { return entry.second.phase == phase; }));
 }
 
 void MemberPool::failed(TimePoint now) noexcept
--- a/src/relay/wire.h
+++ b/src/relay/wire.h
@@ -53,11 +53,20 @@
                              const Error &error,
                              const GroupName &group,
                              const MemberName &member,
-                             const MemberRequest &request) {
-    { Codec::maxMessage } -> std::convertible_to<std::size_t>;
-    { Codec::parseCaller(line) } -> std::same_as<CallerLine>;
-    { Codec::parseMember(line) } -> std::same_as<MemberLine>;
-    { Codec::parseAccount(line) } -> std::same_as<std::optional<MemberAccount>>;
+                             const MemberRequest &request)
+{
+    {
+        Codec::maxMessage
+        } -> std::convertible_to<std::size_t>;
+    {
+        Codec::parseCaller(line)
+        } -> std::same_as<CallerLine>;
+    {
+        Codec::parseMember(line)
+        } -> std::same_as<MemberLine>;
+    {
+        Codec::parseAccount(line)
+        } -> std::same_as<std::optional<MemberAccount>>;
     Codec::appendReply(out, reply);
     Codec::appendSessionReady(out);
     Codec::appendRefusal(out, error);
--- a/src/settings/impl/fields.h
+++ b/src/settings/impl/fields.h
@@ -3,8 +3,8 @@
 
 #include "base/ids.h"
 #include "http/address.h"
-#include "json/reader.h"
 #include "settings/settings.h"
+#include "json/reader.h"
 
 #include <array>
 #include <string>
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -2,9 +2,9 @@
 #include "settings/read.h"
 
 #include "http/address.h"
+#include "settings/impl/fields.h"
 #include "json/document.h"
 #include "json/reader.h"
-#include "settings/impl/fields.h"
 
 #include <array>
 #include <cstdint>
--- a/src/settings/sessionsettings.cpp
+++ b/src/settings/sessionsettings.cpp
@@ -1,8 +1,8 @@
 // Reads the session proxy's settings.
 #include "settings/sessionsettings.h"
 
-#include "json/document.h"
 #include "settings/impl/fields.h"
+#include "json/document.h"
 
 #include <fstream>
 #include <iterator>
@@ -22,6 +22,8 @@
     listen.callers = readAddress(reader, "callers");
     listen.readiness = readAddress(reader, "readiness");
     listen.peers = readAddress(reader, "peers");
+    const auto sessions = reader.optionalText("sessions", addressLength);
+    listen.sessions = sessions ? checkAddress(reader, "sessions", *sessions) : Address{};
     const auto metrics = reader.optionalText("metrics", addressLength);
     listen.metrics = metrics ? checkAddress(reader, "metrics", *metrics) : Address{};
     return listen;
--- a/src/settings/sessionsettings.h
+++ b/src/settings/sessionsettings.h
@@ -3,8 +3,8 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "json/checked.h"
 #include "settings/settings.h"
+#include "json/checked.h"
 
 #include <cstdint>
 #include <string>
@@ -20,6 +20,8 @@
     Address readiness;
     /// Other proxies, over gRPC.
     Address peers;
+    /// Sessions that other proxies pass on; none are taken or passed on when empty.
+    Address sessions;
     /// Metrics page; not served when empty.
     Address metrics;
 
--- a/tests/cli/test_cli.cpp
+++ b/tests/cli/test_cli.cpp
@@ -380,7 +380,8 @@
 Test(cli, sessionSettingsAreCheckedOnRequest)
 {
     const Folder folder;
-    const auto file = folder.write("s.json", R"({"instance": "one", "failureDomain": "a", "store": "127.0.0.1:4", "promotions": "127.0.0.1:5",
+    const auto file =
+        folder.write("s.json", R"({"instance": "one", "failureDomain": "a", "store": "127.0.0.1:4", "promotions": "127.0.0.1:5",
         "listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3"}})");
     cr_assert(run({"check-settings", "--session", file}).code == 0);
     cr_assert(run({"check-settings", file}).code == 2);
@@ -391,12 +392,13 @@
 Test(cli, explainTellsWhatHappenedAndWhatWasBelieved)
 {
     const Folder folder;
-    const auto log = folder.write("one.log",
-                                  "time=2026-01-01T00:00:01.000Z level=info instance=one event=primary group=g member=old generation=1 held=0\n"
-                                  "time=2026-01-01T00:00:02.000Z level=info instance=one event=primary group=g member=old generation=1 held=1\n"
-                                  "time=2026-01-01T00:00:02.100Z level=info instance=two event=primary group=g member=new generation=2 held=0\n"
-                                  "9.1 one time=2026-01-01T00:00:02.800Z level=info instance=one event=statement id=77 group=g outcome=no-primary\n"
-                                  "damaged =line\n");
+    const auto log =
+        folder.write("one.log",
+                     "time=2026-01-01T00:00:01.000Z level=info instance=one event=primary group=g member=old generation=1 held=0\n"
+                     "time=2026-01-01T00:00:02.000Z level=info instance=one event=primary group=g member=old generation=1 held=1\n"
+                     "time=2026-01-01T00:00:02.100Z level=info instance=two event=primary group=g member=new generation=2 held=0\n"
+                     "9.1 one time=2026-01-01T00:00:02.800Z level=info instance=one event=statement id=77 group=g outcome=no-primary\n"
+                     "damaged =line\n");
     const auto result = run({"explain", "--id", "77", log});
     cr_assert(result.code == 0, "%s", result.err.c_str());
     cr_assert(contains(result.out, "outcome=no-primary") && contains(result.out, "held=1"));
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -106,10 +106,14 @@
 Test(platform, entriesOfOtherWritersNameNoMember)
 {
     const ObjectName name{"i-7"};
-    const std::string good = R"({"service":"g","address":"10.0.0.1:1","zone":"z","slots":2,"state":"ready","currentRole":"primary","born":12})";
+    const std::string good =
+        R"({"service":"g","address":"10.0.0.1:1","zone":"z","slots":2,"state":"ready","currentRole":"primary","born":12})";
     const auto entry = decodeMember(name, good);
     cr_assert(entry && entry->claimsPrimary && entry->startedAt == 12 && !entry->draining);
-    for (const char *bad : {"{", "null", R"({"service":7})", R"({"service":"g","address":"a","zone":"z","slots":2,"state":"odd"})",
+    for (const char *bad : {"{",
+                            "null",
+                            R"({"service":7})",
+                            R"({"service":"g","address":"a","zone":"z","slots":2,"state":"odd"})",
                             R"({"service":"g","address":"a","zone":"z","slots":"two","state":"ready"})"}) {
         cr_assert(!decodeMember(name, bad), "%s", bad);
     }
@@ -119,8 +123,8 @@
 {
     bool more = false;
     const ObjectKind kind{"servers"};
-    const auto listing = decodeListing(
-        kind, R"({"items":[{"meta":{"name":"a","revision":4},"spec":{"x":1}},{"odd":1}],"more":true,"asOf":9})", more);
+    const auto listing =
+        decodeListing(kind, R"({"items":[{"meta":{"name":"a","revision":4},"spec":{"x":1}},{"odd":1}],"more":true,"asOf":9})", more);
     cr_assert(listing && more && listing->revision.value == 9 && listing->objects.size() == 1);
     const auto changes = decodeChanges(
         kind, Revision{9}, R"({"events":[{"deleted":true,"object":{"meta":{"name":"a","revision":10},"spec":null}}],"asOf":10})");
--- a/tests/relay/relaydriver.h
+++ b/tests/relay/relaydriver.h
@@ -47,7 +47,7 @@
         configuration.routes.push_back(route);
         configuration.groups.push_back({GroupName{"g"}, options.memberConnections, 1});
         engine.configure(configuration, now);
-        engine.setLiveProxies(options.liveProxies, now);
+        engine.setSharers(GroupName{"g"}, options.liveProxies);
         directory.replaceAll({member("p", "a", true), member("r1", "b", false), member("r2", "c", false)}, now);
         engine.setMembers(directory, now);
         believe("p", 1);
@@ -184,17 +184,13 @@
             engine.callerClosed(close->caller, now);
         } else if (const auto *link = std::get_if<CloseLink>(&action)) {
             closedLinks.push_back(link->link);
-            std::erase_if(requests, [link](const auto &request) {
-                return request.first == link->link;
-            });
+            std::erase_if(requests, [link](const auto &request) { return request.first == link->link; });
         }
     }
 
     [[nodiscard]] std::string memberOf(LinkKey link) const
     {
-        const auto found = std::find_if(opens.begin(), opens.end(), [link](const auto &open) {
-            return open.link == link;
-        });
+        const auto found = std::find_if(opens.begin(), opens.end(), [link](const auto &open) { return open.link == link; });
         return found == opens.end() ? "" : found->member.text();
     }
 };
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -275,9 +275,8 @@
         driver.say(caller, StatementKind::Write);
         driver.advance(10);
     }
-    const auto toPrimary = std::count_if(driver.opens.begin(), driver.opens.end(), [](const auto &open) {
-        return open.member.text() == "p";
-    });
+    const auto toPrimary =
+        std::count_if(driver.opens.begin(), driver.opens.end(), [](const auto &open) { return open.member.text() == "p"; });
     cr_assert(toPrimary <= 4, "%td connections", toPrimary);
 }
 
@@ -308,7 +307,7 @@
     MemberDirectory directory;
     directory.put(RelayDriver::member("p", "a", true));
     engine.setMembers(directory, now);
-    engine.setLiveProxies(1, now);
+    engine.setSharers(GroupName{"g"}, 1);
     engine.wake(now + Seconds{1});
     for (const auto &action : engine.takeActions()) {
         if (const auto *open = std::get_if<OpenLink>(&action)) {
--- a/tests/relay/test_units.cpp
+++ b/tests/relay/test_units.cpp
@@ -1,10 +1,13 @@
 // Tests of the relay's small parts: outcomes, the route book, the directory.
 #include "relay/directory.h"
 #include "relay/outcome.h"
+#include "relay/placement.h"
 #include "relay/routebook.h"
 
 #include <criterion/criterion.h>
 
+#include <map>
+
 using namespace cardamomstep;
 using namespace cardamomstep::relay;
 
@@ -58,3 +61,46 @@
     directory.remove(member.name, start + Seconds{10});
     cr_assert_null(directory.find(member.name), "a removal by a healthy store counts at once");
 }
+
+namespace {
+
+InstanceSet fleetOf(int proxies, int domains)
+{
+    std::vector<LiveInstance> instances;
+    for (int index = 0; index < proxies; ++index) {
+        const auto number = std::to_string(index);
+        instances.push_back({InstanceName{"proxy-" + number}, FailureDomain{"d" + std::to_string(index % domains)}, Address{"a" + number}});
+    }
+    return InstanceSet(instances);
+}
+
+} // namespace
+
+Test(relay, smallFleetsShareConnectionsEvenly)
+{
+    const auto fleet = fleetOf(6, 3);
+    const auto holders = holdersFor(fleet, 36);
+    cr_assert(holders.perDomain == 0 && holders.sharers == 6);
+    cr_assert(!forwardTo(fleet, holders, GroupName{"g"}, fleet.instances().front(), 1));
+    cr_assert(holdersFor(fleetOf(7, 3), 14).perDomain == 0, "two for each are enough (convenio-cantabrico)");
+}
+
+// convenio-cantabrico-grown: 62 proxies, 40 connections a member. Pools of one let a resting transaction block all of its proxy.
+Test(relay, fewConnectionsAreHeldByFewProxiesOfEachDomain)
+{
+    const auto fleet = fleetOf(62, 3);
+    const auto holders = holdersFor(fleet, 38);
+    cr_assert(holders.perDomain == 2 && holders.sharers == 6);
+    std::map<Address, int> sessions;
+    for (const auto &self : fleet.instances()) {
+        for (std::uint64_t caller = 0; caller < 10; ++caller) {
+            const auto target = forwardTo(fleet, holders, GroupName{"g"}, self, caller);
+            if (target) {
+                cr_assert(target->domain == self.domain, "a session stays in its failure domain");
+                cr_assert(!forwardTo(fleet, holders, GroupName{"g"}, *target, caller), "a holder passes nothing on");
+                ++sessions[target->address];
+            }
+        }
+    }
+    cr_assert(sessions.size() == 6);
+}
