--- a/src/cli/story.cpp
+++ b/src/cli/story.cpp
@@ -101,7 +101,8 @@
                 newest = belief;
             }
         }
-        for (auto &[event, line] : last) {
+        for (const auto &entry : last) {
+            const auto &line = entry.second;
             const bool known = std::any_of(found.begin(), found.end(), [&line](const auto &other) {
                 return other.time == line.time && other.event == line.event && other.instance == line.instance;
             });
--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -16,7 +16,7 @@
 struct CallerLinkHandlers {
     /// Opens the session; an error ends it.
     std::function<Result<Success>(const relay::DatabaseName &database)> opened;
-    std::function<void(relay::SessionStatement statement)> statement;
+    std::function<void(const relay::SessionStatement &statement)> statement;
     /// The connection ended; not called after close().
     std::function<void()> closed;
     /// The proxy that the session is passed on to; nothing when this process serves it.
@@ -87,13 +87,13 @@
             passOn(line);
             return;
         }
-        auto message = Wire::parseCaller(line);
-        if (auto *start = std::get_if<relay::StartSession>(&message)) {
+        const auto message = Wire::parseCaller(line);
+        if (const auto *start = std::get_if<relay::StartSession>(&message)) {
             open(*start, std::string(line));
-        } else if (auto *statement = std::get_if<relay::SessionStatement>(&message); statement != nullptr && started_) {
+        } else if (const auto *statement = std::get_if<relay::SessionStatement>(&message); statement != nullptr && started_) {
             connection_->pause();
             if (handlers_.statement) {
-                handlers_.statement(std::move(*statement));
+                handlers_.statement(*statement);
             }
         } else if (std::holds_alternative<relay::EndSession>(message)) {
             finish();
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -99,7 +99,7 @@
         if (!listening) {
             return listening;
         }
-        register_();
+        enroll();
         follow();
         lastTick_ = evloop::bootTimeNow();
         schedule();
@@ -170,7 +170,7 @@
 
     // The fleet's objects
 
-    void register_()
+    void enroll()
     {
         const auto value = leadership::encode(
             leadership::ProxyEntry{settings_.instance, settings_.listen.peers, settings_.listen.sessions, settings_.failureDomain});
@@ -348,7 +348,7 @@
         }
         lastTick_ = now;
         if (std::exchange(registerFailed_, false) && !leaving_) {
-            register_();
+            enroll();
         }
         for (auto &[member, control] : controls_) {
             control->expire(now, limits_.controlPatience);
@@ -484,7 +484,7 @@
         return request;
     }
 
-    leadership::PrimarySighting sighting(const leadership::GroupRecord &record, TimePoint now) const
+    [[nodiscard]] leadership::PrimarySighting sighting(const leadership::GroupRecord &record, TimePoint now) const
     {
         leadership::PrimarySighting seen;
         seen.group = record.group;
@@ -617,7 +617,7 @@
                   {{"fence", static_cast<std::int64_t>(yieldedFence_)}, {"store_answers", request.instance.text()}});
     }
 
-    std::uint32_t liveProxies(TimePoint now) const
+    [[nodiscard]] std::uint32_t liveProxies(TimePoint now) const
     {
         return static_cast<std::uint32_t>(std::count_if(proxies_.begin(), proxies_.end(), [this, now](const auto &proxy) {
             const auto heard = heard_.find(proxy.first);
@@ -789,7 +789,7 @@
         move.setMembers(host_.directory.membersOf(record.group));
     }
 
-    bool hasSuccessor(const leadership::GroupRecord &record) const
+    [[nodiscard]] bool hasSuccessor(const leadership::GroupRecord &record) const
     {
         const auto members = host_.directory.membersOf(record.group);
         return std::any_of(
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -206,7 +206,7 @@
             perform();
             return opened;
         };
-        handlers.statement = [this, key](relay::SessionStatement statement) {
+        handlers.statement = [this, key](const relay::SessionStatement &statement) {
             engine_.callerStatement(key, statement, evloop::bootTimeNow());
             perform();
         };
