A move resumes what it stopped, and promotes nobody that lacks acknowledged commits

Writes then hung until the old primary followed; the stall was taken for a reason to move, and the stopped replica was promoted as the only one registered. Change: a move that ordered no promotion itself resumes the replicas that it stopped. A member that lacks acknowledged commits is not promoted while the old primary lives; without it the move waits 25 s in place of 9 s. Tests: aPromotionOfAnEarlierHolderIsFoundAndRecorded (resumes), aMemberThatLacksAcknowledgedCommitsIsNotPromotedAlthoughItIsTheOnlyOneRegistered.

--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -26,6 +26,8 @@
 
 /// Bounds of the shell.
 struct SessionProxyLimits {
+    /// Longest wait of one watch for the configuration; a third of its deadline is left for calls that fail.
+    Milliseconds configurationWait{2000};
     /// Longest wait of one watch for members. Watches may miss changes until the next call.
     Milliseconds memberWait{4000};
     /// Pause after news from the store.
@@ -294,13 +296,14 @@
         handlers.failed = [this](const Error &error) {
             storeFailed("configuration", error);
         };
-        configuration_ = std::make_shared<Follower<Store>>(loop_,
-                                                           Store(loop_, settings_.store),
-                                                           ObjectKind{Store::configurationKind},
-                                                           watchOptions(settings_.configurationDeadline * 2 / 3),
-                                                           limits_.watchSettle,
-                                                           stableHash(settings_.instance.text()),
-                                                           std::move(handlers));
+        configuration_ =
+            std::make_shared<Follower<Store>>(loop_,
+                                              Store(loop_, settings_.store),
+                                              ObjectKind{Store::configurationKind},
+                                              watchOptions(std::min(limits_.configurationWait, settings_.configurationDeadline * 2 / 3)),
+                                              limits_.watchSettle,
+                                              stableHash(settings_.instance.text()),
+                                              std::move(handlers));
         configuration_->step();
     }
 
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -251,8 +251,14 @@
         }
         return;
     }
-    const bool holdsAll = allProxiesKnown() && acknowledged_ <= candidate->received;
-    const bool enough = replicasSettled() || (waited >= limits_.memberPatience && holdsAll) || waited >= limits_.longestGathering;
+    const bool lacks = candidate->received < acknowledged_;
+    if (lacks && primaryLeads && waited >= limits_.memberPatience) {
+        // The old primary holds what its callers were told; slow is better than lost.
+        publish(record_.primary);
+        return;
+    }
+    const bool settled = replicasSettled() || (allProxiesKnown() && waited >= limits_.memberPatience);
+    const bool enough = (settled && !lacks) || waited >= limits_.longestGathering;
     if (!enough) {
         return;
     }
@@ -264,6 +270,7 @@
         return;
     }
     chosen_ = candidate->member;
+    ordered_ = true;
     phase_ = Phase::Promoting;
     actions.emplace_back(PromoteMember{chosen_});
     retryAt_ = TimePoint::max();
@@ -307,11 +314,13 @@
     record.primary = chosen_;
     ++record.generation;
     actions.emplace_back(StoreRecord{record});
-    if (chosen_ == record_.primary) {
+    if (!ordered_ || chosen_ == record_.primary) {
+        // Only a promotion lets stopped replicas go on by itself.
         for (const auto &name : paused_) {
             actions.emplace_back(ResumeMember{name});
         }
-    } else if (members_.contains(record_.primary)) {
+    }
+    if (chosen_ != record_.primary && members_.contains(record_.primary)) {
         actions.emplace_back(DemoteMember{record_.primary, newTerm_});
     }
     retryAt_ = TimePoint::max();
--- a/src/leadership/promotion.h
+++ b/src/leadership/promotion.h
@@ -64,8 +64,8 @@
     Milliseconds retry{120};
     /// A replica that cannot be reached for this long is left out if what was acknowledged is known to be held elsewhere.
     Milliseconds memberPatience{900};
-    /// After this time the best reachable member is taken, whatever is missing.
-    Milliseconds longestGathering{9000};
+    /// After this time the best reachable member is taken, whatever is missing: who holds the rest is not expected back.
+    Milliseconds longestGathering{25'000};
     /// Margin on the lease of views, for timers that fire early.
     Milliseconds viewMargin{50};
     /// A proxy that started more recently does not know all that its instance acknowledged.
@@ -168,6 +168,8 @@
     std::uint64_t fenceTerm_ = 0;
     std::set<MemberName> refused_;
     MemberName chosen_;
+    /// This move ordered a promotion itself.
+    bool ordered_ = false;
     TimePoint promotedAt_;
     std::uint64_t newTerm_ = 0;
     /// The phase's requests were sent; they are sent again then.
--- a/tests/leadership/test_promotion.cpp
+++ b/tests/leadership/test_promotion.cpp
@@ -167,8 +167,30 @@
     move.memberPaused(status("r1", 20, true, 4), 5);
     move.memberPaused(status("r2", 20, false, 4), 5);
     (void)move.next(at(140));
-    const auto stored = only<StoreRecord>(move.next(at(141)));
+    const auto actions = move.next(at(141));
+    const auto stored = only<StoreRecord>(actions);
     cr_assert(stored.size() == 1 && stored.front().record.primary.text() == "r1");
+    // Seen on deploy/days/outage-over-a-move, seed 5: the replica stayed stopped, and lacked 112 acknowledged commits when it was promoted.
+    cr_assert(only<ResumeMember>(actions).size() == 2, "what this move stopped goes on");
+}
+
+Test(promotion, aMemberThatLacksAcknowledgedCommitsIsNotPromotedAlthoughItIsTheOnlyOneRegistered)
+{
+    auto move = begun(MoveReason::Stalled, {member("p"), member("r1")});
+    (void)move.next(at(5));
+    move.proxiesListed({InstanceName{"one"}}, at(9));
+    move.memberStatus(status("p", 40, true));
+    move.memberStatus(status("r1", 3));
+    (void)move.next(at(130));
+    move.held(InstanceName{"one"}, Mark{Term{1, 0}, 36}, Seconds{60}, at(140));
+    move.memberPaused(status("r1", 3), 2);
+    cr_assert(only<PromoteMember>(move.next(at(150))).empty());
+    (void)move.next(at(1000));
+    const auto actions = move.next(at(1130));
+    cr_assert(only<PromoteMember>(actions).empty());
+    const auto stored = only<StoreRecord>(actions);
+    cr_assert(stored.size() == 1 && stored.front().record.primary.text() == "p", "the old primary goes on");
+    cr_assert(only<ResumeMember>(actions).size() == 1);
 }
 
 Test(promotion, aMemberThatDoesNotRunIsReplacedByTheNext)
