--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -147,6 +147,7 @@
             return;
         }
         proxy_ = proxy;
+        database_ = start.database;
         upstream_ = std::make_shared<evloop::LineConnection>(std::move(*socket), evloop::LineLimits{Wire::maxMessage});
         upstream_->start([self = this->shared_from_this()](std::string_view answer) { self->passBack(answer); },
                          [self = this->shared_from_this()](evloop::LineEnd) { self->upstreamEnded(); });
@@ -178,12 +179,18 @@
 
     void passBack(std::string_view line)
     {
-        connection_->send(std::string(line) + "\r\n");
         const auto message = Wire::parseMember(line);
+        if (!accepted_ && !std::holds_alternative<relay::MemberReady>(message)) {
+            // The other proxy may know an older configuration than this one, or be stopping.
+            serveHere();
+            return;
+        }
+        connection_->send(std::string(line) + "\r\n");
         const auto *ready = std::get_if<relay::MemberReady>(&message);
         if (ready == nullptr) {
             return;
         }
+        accepted_ = true;
         outstanding_ = false;
         state_ = ready->state;
         silence_.cancel();
@@ -194,9 +201,25 @@
         connection_->resume();
     }
 
+    /// Serves a session that the other proxy did not take.
+    void serveHere()
+    {
+        if (handlers_.forwardFailed) {
+            handlers_.forwardFailed(proxy_);
+        }
+        outstanding_ = false;
+        dropUpstream();
+        openHere(database_);
+        connection_->resume();
+    }
+
     /// The proxy that serves the session ended it, or is gone.
     void upstreamEnded()
     {
+        if (!accepted_ && handlers_.closed) {
+            serveHere();
+            return;
+        }
         if (outstanding_ && handlers_.forwardFailed) {
             handlers_.forwardFailed(proxy_);
         }
@@ -254,6 +277,9 @@
     /// The connection to the proxy that serves the session; null when this process does.
     std::shared_ptr<evloop::LineConnection> upstream_;
     Address proxy_;
+    relay::DatabaseName database_;
+    /// The other proxy took the session.
+    bool accepted_ = false;
     /// A forwarded line is not answered yet.
     bool outstanding_ = false;
     relay::SessionState state_ = relay::SessionState::Idle;
