Statements of a transaction need no second admission; a long idle one yields to a waiting request

A freshly started owner holds one connection a member until the others' claims expire. A write that was admitted waited for that connection, which a transaction held; the transaction's next statement waited to be admitted, behind the write. When the transaction's client went away with its stopped proxy, the connection stayed taken for the idle limit of 5 s, the write's window. Ruled out: a refusal by the member (other text), the retry budget (it names the last failure, not the wait). Change: statements of a transaction run without admission, since their connection is theirs; a transaction idle for a second ends when a request waits for a connection, never under a running statement.

--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -95,6 +95,8 @@
     [[nodiscard]] RequestId drawRequestId();
     void reconcile();
     [[nodiscard]] Milliseconds maintain();
+    /// Ends transactions that have long been idle where requests wait for their connections.
+    void yieldIdleTransactions();
     void beginLeaving();
     void serveUntilQuiet(TimePoint until);
     [[nodiscard]] std::string metricsPage();
@@ -485,6 +487,20 @@
     ownership.reconcile({configuration.catalog(), owners, true});
 }
 
+void Proxy::Impl::yieldIdleTransactions()
+{
+    for (const auto &owner : ownership.all()) {
+        if (!owner->waitsForConnection()) {
+            continue;
+        }
+        const auto group = owner->snapshot().group;
+        if (const auto yielded = transactions.yieldIdle(group)) {
+            logEvent(LogLevel::Info, "idle-transaction-ended", {{"group", group.text()}, {"transaction", yielded->transaction.id.text()}});
+            owner->closeConnection(*yielded);
+        }
+    }
+}
+
 Milliseconds Proxy::Impl::maintain()
 {
     for (const auto &expired : transactions.expire()) {
@@ -492,6 +508,7 @@
             owner->closeConnection(expired);
         }
     }
+    yieldIdleTransactions();
     configuration.setInstances(membership.owners(), membership.listedDomains());
     membership.setConfiguration(configuration.revision());
     if (++maintenanceRound % planRounds == 0) {
--- a/src/owner/groupowner.cpp
+++ b/src/owner/groupowner.cpp
@@ -8,6 +8,7 @@
 #include "owner/impl/writeflow.h"
 #include "owner/transactions.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamomstep {
@@ -107,6 +108,15 @@
     }
 }
 
+bool GroupOwner::waitsForConnection() const
+{
+    const std::lock_guard lock(core_->mutex);
+    const auto hasWaiters = [](const auto &item) {
+        return item.second->links.hasWaiters();
+    };
+    return std::any_of(core_->members.begin(), core_->members.end(), hasWaiters);
+}
+
 PeerSighting GroupOwner::sighting() const
 {
     const std::lock_guard lock(core_->mutex);
--- a/src/owner/groupowner.h
+++ b/src/owner/groupowner.h
@@ -66,6 +66,9 @@
     /// Closes the connection of a transaction that expired.
     void closeConnection(const Transactions::Use &use);
 
+    /// True while a request waits for one of the connections that transactions hold.
+    [[nodiscard]] bool waitsForConnection() const;
+
     /// What to tell the other owners.
     [[nodiscard]] PeerSighting sighting() const;
 
--- a/src/owner/impl/transactionflow.cpp
+++ b/src/owner/impl/transactionflow.cpp
@@ -103,12 +103,8 @@
     if (!use) {
         return failedAnswer(use.error());
     }
+    // No admission: those admitted may be waiting for the connection that this transaction holds.
     std::unique_lock lock(core_.mutex);
-    const auto ticket = core_.admit(lock, Lane::Primary, statement_.service, deadline_);
-    if (!ticket) {
-        transactions_.end(statement_.transaction);
-        return failedAnswer(ticket.error());
-    }
     auto call = callFor(core_, statement_, use->transaction.term);
     call.needsPrimary = true;
     call.requestId = RequestId{};
@@ -116,7 +112,6 @@
     const auto result = exchange(core_, lock, use->transaction.member, use->lease, deadline_, [&call](auto &link, Milliseconds timeout) {
         return link.execute(call, timeout);
     });
-    core_.finished(*ticket);
     lock.unlock();
     return finishExecute(*use, result);
 }
--- a/src/owner/memberlinks.cpp
+++ b/src/owner/memberlinks.cpp
@@ -29,7 +29,6 @@
 Result<MemberLinks::Lease> MemberLinks::take(std::unique_lock<std::mutex> &lock, TimePoint deadline)
 {
     Waiter waiter;
-    const WaitList::Entry entry(waiting_, waiter);
     for (;;) {
         const auto step = pool_.take(deadline, steadyNow());
         if (const auto *reuse = std::get_if<ReuseConnection>(&step)) {
@@ -46,6 +45,7 @@
         if (const auto *none = std::get_if<NoConnection>(&step)) {
             return none->error;
         }
+        const WaitList::Entry entry(waiting_, waiter);
         waiter.wait(lock, std::get<AwaitConnection>(step).until);
     }
 }
--- a/src/owner/memberlinks.h
+++ b/src/owner/memberlinks.h
@@ -55,6 +55,12 @@
     /// Requests that use a connection now.
     [[nodiscard]] std::uint32_t inUse() const noexcept;
 
+    /// True while a request waits for a connection.
+    [[nodiscard]] bool hasWaiters() const noexcept
+    {
+        return !waiting_.empty();
+    }
+
     [[nodiscard]] std::uint32_t allowed() const noexcept
     {
         return pool_.allowed();
--- a/src/owner/transactions.cpp
+++ b/src/owner/transactions.cpp
@@ -58,16 +58,31 @@
     const std::lock_guard lock(mutex_);
     std::vector<Use> expired;
     for (const auto &ended : registry_.wake(steadyNow())) {
-        const auto found = pinned_.find(ended.id);
-        if (found == pinned_.end()) {
-            continue;
+        if (const auto use = unpin(ended)) {
+            expired.push_back(*use);
         }
-        expired.push_back({found->second.transaction, found->second.lease});
-        pinned_.erase(found);
     }
     return expired;
 }
 
+std::optional<Transactions::Use> Transactions::yieldIdle(const GroupName &group)
+{
+    const std::lock_guard lock(mutex_);
+    const auto yielded = registry_.yieldIdle(group, steadyNow());
+    return yielded ? unpin(*yielded) : std::nullopt;
+}
+
+std::optional<Transactions::Use> Transactions::unpin(const CloseTransaction &ended)
+{
+    const auto found = pinned_.find(ended.id);
+    if (found == pinned_.end()) {
+        return std::nullopt;
+    }
+    const Use use{found->second.transaction, found->second.lease};
+    pinned_.erase(found);
+    return use;
+}
+
 std::optional<GroupName> Transactions::groupOf(const TransactionId &id)
 {
     const std::lock_guard lock(mutex_);
--- a/src/owner/transactions.h
+++ b/src/owner/transactions.h
@@ -41,6 +41,9 @@
     /// Removes transactions over their limits; their connections must be closed.
     [[nodiscard]] std::vector<Use> expire();
 
+    /// Removes the longest idle transaction of \a group, see TransactionRegistry::yieldIdle(); its connection must be closed.
+    [[nodiscard]] std::optional<Use> yieldIdle(const GroupName &group);
+
     /// The group of an open transaction; none when it is not open.
     [[nodiscard]] std::optional<GroupName> groupOf(const TransactionId &id);
 
@@ -55,6 +58,8 @@
         MemberLinks::Lease lease;
     };
 
+    [[nodiscard]] std::optional<Use> unpin(const CloseTransaction &ended);
+
     std::mutex mutex_;
     TransactionRegistry registry_;
     /// Process-wide names of pinned connections; pools of different members reuse theirs.
--- a/src/owner/waiter.h
+++ b/src/owner/waiter.h
@@ -70,6 +70,11 @@
         }
     }
 
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return waiters_.empty();
+    }
+
 private:
     std::vector<Waiter *> waiters_;
 };
--- a/src/requests/transactions.cpp
+++ b/src/requests/transactions.cpp
@@ -129,6 +129,24 @@
     return expired;
 }
 
+std::optional<CloseTransaction> TransactionRegistry::yieldIdle(const GroupName &group, TimePoint now)
+{
+    const Entry *longest = nullptr;
+    for (const auto &[id, entry] : open_) {
+        const bool idle = !entry.running && now - entry.lastUsed >= limits_.idleUnderDemand;
+        if (entry.transaction.group == group && idle && (longest == nullptr || entry.lastUsed < longest->lastUsed)) {
+            longest = &entry;
+        }
+    }
+    if (longest == nullptr) {
+        return std::nullopt;
+    }
+    const CloseTransaction yielded{longest->transaction.id, longest->transaction.connection};
+    remember(yielded.id);
+    close(yielded.id);
+    return yielded;
+}
+
 std::optional<TimePoint> TransactionRegistry::nextWake() const noexcept
 {
     std::optional<TimePoint> first;
--- a/src/requests/transactions.h
+++ b/src/requests/transactions.h
@@ -25,6 +25,8 @@
     std::size_t most = 1'000;
     /// Longest pause between two statements.
     Milliseconds idle{5'000};
+    /// Longest pause while a request waits for a connection.
+    Milliseconds idleUnderDemand{1'000};
     /// Longest time from begin to the end.
     Milliseconds total{30'000};
     /// Ended transactions that are remembered, to tell an abort from an unknown id.
@@ -89,6 +91,9 @@
     /// Aborts transactions over their limits, except while a statement runs; to be called at nextWake().
     [[nodiscard]] std::vector<CloseTransaction> wake(TimePoint now);
 
+    /// Aborts the transaction of \a group that has been idle the longest, if it is over the limit for times of demand.
+    [[nodiscard]] std::optional<CloseTransaction> yieldIdle(const GroupName &group, TimePoint now);
+
     /// When the first transaction reaches a limit.
     [[nodiscard]] std::optional<TimePoint> nextWake() const noexcept;
 
--- a/tests/requests/test_requests.cpp
+++ b/tests/requests/test_requests.cpp
@@ -145,6 +145,25 @@
     cr_assert(registry.size() == 0 && !registry.nextWake());
 }
 
+Test(requests, anIdleTransactionYieldsItsConnectionOnDemandOnly)
+{
+    TransactionLimits limits;
+    limits.idleUnderDemand = Milliseconds{100};
+    TransactionRegistry registry{InstanceName{"p"}, 1, limits};
+    auto pinned = transactionOn(1);
+    pinned.group = GroupName{"g"};
+    const auto older = registry.open(pinned, at(0));
+    pinned.connection = 2;
+    const auto newer = registry.open(pinned, at(10));
+    cr_assert(!registry.yieldIdle(GroupName{"g"}, at(99)), "not idle for long enough");
+    cr_assert(!registry.yieldIdle(GroupName{"other"}, at(500)), "no transaction there");
+    cr_assert(registry.yieldIdle(GroupName{"g"}, at(500)) == (CloseTransaction{older->id, 1}), "the longest idle one first");
+    cr_assert(bool(registry.beginStatement(newer->id, at(500))));
+    cr_assert(!registry.yieldIdle(GroupName{"g"}, at(900)), "a running statement is not cut");
+    const auto later = registry.beginStatement(older->id, at(900));
+    cr_assert(!later && later.error().kind == ErrorKind::TransactionAborted);
+}
+
 Test(requests, theNumberOfTransactionsIsBounded)
 {
     TransactionLimits limits;
--- a/tests/system/test_promises.py
+++ b/tests/system/test_promises.py
@@ -1,6 +1,7 @@
 """Single promises, each under the failure that threatens it, on one whole deployment."""
 
 import contextlib
+import dataclasses
 import sys
 import threading
 import time
@@ -17,6 +18,10 @@
 KEY = f"{GROUP}/h/0"
 SECONDS_OF_READS = 1.0
 UNCONFIRMED_WINDOW_MS = 3000
+# One for each owner of a group.
+SCARCE_CONNECTIONS = 3
+PATIENT_WINDOW_MS = 5000
+SHORT_WINDOW_MS = 1000
 
 
 def deployment():
@@ -130,6 +135,35 @@
         check(answers[0].ran != "no" or "i1" not in items, f"said not to have run, but there: {answers[0]}")
 
 
+@contextlib.contextmanager
+def transaction_and_waiting_write():
+    """A transaction that holds its owner's only connection to the primary, and a write that waits for it."""
+    with Cluster(BUILD, BASE, dataclasses.replace(KAHEKSA, connections=SCARCE_CONNECTIONS)) as cluster:
+        caller, other = Caller(cluster), Caller(cluster)
+        begun = caller.begin(KEY, windowMs=PATIENT_WINDOW_MS)
+        check(begun.ok, f"begin: {begun}")
+        answers = []
+        more = {"requestId": "waiting", "windowMs": PATIENT_WINDOW_MS}
+        writing = threading.Thread(target=lambda: answers.append(other.write("append", f"{GROUP}/h/1", {"item": "waiting"}, **more)))
+        writing.start()
+        time.sleep(0.3)
+        yield caller, begun.transaction
+        writing.join()
+        check(answers[0].ok, f"the write that waited: {answers[0]}")
+
+
+def transaction_goes_on_while_a_write_waits_for_its_connection():
+    with transaction_and_waiting_write() as (caller, transaction):
+        inside = caller.write("append", KEY, {"item": "i1"}, transaction=transaction, windowMs=SHORT_WINDOW_MS)
+        check(inside.ok, f"statement inside: {inside}")
+        check(caller.commit(transaction, "c1", windowMs=SHORT_WINDOW_MS).ok, "commit")
+
+
+def abandoned_transaction_gives_way_to_a_waiting_write():
+    with transaction_and_waiting_write() as (caller, _):
+        caller.close()
+
+
 CASES = [
     session_sees_its_writes_through_every_proxy,
     lost_answer_runs_once,
@@ -137,7 +171,10 @@
     damaged_token_is_refused,
     reads_show_nothing_that_vanishes,
     new_primary_acknowledges_only_what_a_majority_holds,
+    transaction_goes_on_while_a_write_waits_for_its_connection,
+    abandoned_transaction_gives_way_to_a_waiting_write,
 ]
 
 if __name__ == "__main__":
-    sys.exit(run_cases(CASES))
+    chosen = sys.argv[2:]
+    sys.exit(run_cases([case for case in CASES if not chosen or case.__name__ in chosen]))
