Calls to the store wait for their budget where it comes in time

Cause: test_golden operator, flaky since it was written: a quick run of commands used up a small proxy's burst of store calls, and a read that could have gone 20 to 40 ms later was answered store-unavailable at once. Ruled out: the store stand-in (it answered each call it got). Change: a call waits for its token when that comes before the call's own deadline; known to come later, it is refused at once as before. Before: the new test fails at its second read.

--- a/src/store/storeclient.cpp
+++ b/src/store/storeclient.cpp
@@ -96,6 +96,18 @@
         return std::max(Milliseconds{1}, budget.wait(kind, now));
     }
 
+    /// As takeCall(), but waits for the call where that ends before \a deadline; known to be too late, it does not wait.
+    Milliseconds awaitCall(CallKind kind, TimePoint deadline)
+    {
+        for (;;) {
+            const auto wait = takeCall(kind);
+            if (wait.count() == 0 || steadyNow() + wait >= deadline) {
+                return wait;
+            }
+            std::this_thread::sleep_for(wait);
+        }
+    }
+
     /// Sends \a request once.
     http::ExchangeResult exchange(http::Request request, Milliseconds timeout)
     {
@@ -115,7 +127,7 @@
     /// Makes one read; the error is StoreUnavailable unless the status is 200 or \a alsoGood.
     Result<http::Response> read(http::Request request, Milliseconds timeout, int alsoGood = statusOk)
     {
-        const auto wait = takeCall(CallKind::Read);
+        const auto wait = awaitCall(CallKind::Read, steadyNow() + timeout);
         if (wait.count() > 0) {
             return Error{ErrorKind::StoreUnavailable, "this proxy has used up its calls to the store"}.comingBackAfter(wait);
         }
@@ -136,7 +148,7 @@
 
     WriteReply sendWrite(const StoreWrite &write, TimePoint deadline)
     {
-        if (takeCall(CallKind::Write).count() > 0) {
+        if (awaitCall(CallKind::Write, deadline).count() > 0) {
             return {WriteReplyKind::TooManyCalls, {}};
         }
         http::Request request;
--- a/tests/store/test_storeclient.cpp
+++ b/tests/store/test_storeclient.cpp
@@ -172,6 +172,21 @@
     cr_assert(store.put(key, valueBy("n1"), {}, WriterNonce{"n1"}, Milliseconds{200}).error().kind == ErrorKind::StoreOutcomeUnknown);
 }
 
+Test(storeclient, quickCallsWaitForTheBudgetWhereItComesInTime)
+{
+    FakeStore fake{"127.0.0.1:18207"};
+    auto options = optionsFor("127.0.0.1:18207");
+    options.budget = {{50, 1}, {50, 1}};
+    StoreClient client{options};
+    Revision revision;
+    for (int call = 0; call < 5; ++call) {
+        const auto listed = client.list(ObjectKind{}, patience);
+        cr_assert(bool(listed), "read %d", call);
+        const auto nonce = "n" + std::to_string(call);
+        revision = client.put(key, valueBy(nonce), revision, WriterNonce{nonce}, patience)->version;
+    }
+}
+
 Test(storeclient, callsAboveTheBudgetAreRefusedHere)
 {
     FakeStore fake{"127.0.0.1:18206"};
