The leadership's and the session proxy's shells, split by job

gateway/leadershell.h had 1,122 lines and sessionproxy.h 627, with many jobs each. Now: leadercontext (what the parts share), proxyregistry, leasekeeper, viewkeeper, membercontrols, primarywatch, groupmoves, and a leadershell of 350 lines that wires them; catalogfollower and sessionplacement beside a session proxy of 450. No decision changed.

--- /dev/null
+++ b/src/gateway/proxyregistry.h
@@ -0,0 +1,159 @@
+// The registered proxies: this one's entry in the store, the others', and which of them live.
+#pragma once
+
+#include "evloop/clock.h"
+#include "gateway/leadercontext.h"
+#include "leadership/recordjson.h"
+#include "membership/rendezvous.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace cardamomstep::gateway {
+
+/// A registered proxy and the revision of its entry.
+struct RegisteredProxy {
+    leadership::ProxyEntry entry;
+    Revision revision;
+};
+
+/// Knows the registered proxies and keeps this one among them.
+template<typename Store>
+class ProxyRegistry
+{
+public:
+    explicit ProxyRegistry(LeaderContext<Store> &context)
+        : context_(context)
+    {
+    }
+
+    void enroll()
+    {
+        const auto value = leadership::encode(leadership::ProxyEntry{context_.settings.instance,
+                                                                     context_.settings.listen.peers,
+                                                                     context_.settings.listen.sessions,
+                                                                     context_.settings.failureDomain});
+        const auto key = leadership::proxyKey(context_.settings.instance);
+        context_.store.create(key, value, context_.limits.storeTimeout, [this, key, value](const Result<StoredObject> &created) {
+            if (created) {
+                registered_ = created->version;
+                return;
+            }
+            if (created.error().kind == ErrorKind::Conflict) {
+                // Left by an earlier process of this instance; its address may be another one.
+                context_.store.replace(key, Revision{}, value, context_.limits.storeTimeout, [this](const Result<StoredObject> &replaced) {
+                    if (replaced) {
+                        registered_ = replaced->version;
+                    } else {
+                        failed_ = true;
+                    }
+                });
+                return;
+            }
+            failed_ = true;
+        });
+    }
+    /// Registers again where the store refused or did not answer.
+    void retry()
+    {
+        if (std::exchange(failed_, false)) {
+            enroll();
+        }
+    }
+
+    [[nodiscard]] bool registered() const noexcept
+    {
+        return registered_.value != 0;
+    }
+
+    /// Takes in the entry of a proxy.
+    void put(const leadership::ProxyEntry &entry, Revision revision, TimePoint now)
+    {
+        proxies_[entry.instance] = {entry, revision};
+        heard_.try_emplace(entry.instance, now);
+    }
+
+    void remove(const InstanceName &instance)
+    {
+        proxies_.erase(instance);
+        heard_.erase(instance);
+    }
+
+    void clear()
+    {
+        proxies_.clear();
+    }
+
+    /// The proxy named \a instance; null when none is registered.
+    [[nodiscard]] const leadership::ProxyEntry *find(const InstanceName &instance) const
+    {
+        const auto found = proxies_.find(instance);
+        return found == proxies_.end() ? nullptr : &found->second.entry;
+    }
+
+    /// All registered proxies by name.
+    [[nodiscard]] const std::map<InstanceName, RegisteredProxy> &all() const noexcept
+    {
+        return proxies_;
+    }
+
+    [[nodiscard]] std::vector<InstanceName> names() const
+    {
+        std::vector<InstanceName> names;
+        for (const auto &[instance, proxy] : proxies_) {
+            names.push_back(instance);
+        }
+        return names;
+    }
+
+    /// The registered proxies that take sessions of others, as targets of sessions.
+    [[nodiscard]] std::vector<LiveInstance> sessionTargets() const
+    {
+        std::vector<LiveInstance> targets;
+        for (const auto &[instance, proxy] : proxies_) {
+            targets.push_back({instance, proxy.entry.failureDomain, proxy.entry.sessions});
+        }
+        return targets;
+    }
+
+    /// Notes that \a instance renewed its view here or through a proxy that did.
+    void heard(const InstanceName &instance, TimePoint now)
+    {
+        heard_[instance] = now;
+    }
+
+    /// Proxies that were heard of lately, this one included.
+    [[nodiscard]] std::uint32_t live(TimePoint now) const
+    {
+        return static_cast<std::uint32_t>(std::count_if(proxies_.begin(), proxies_.end(), [this, now](const auto &proxy) {
+            const auto heard = heard_.find(proxy.first);
+            return proxy.first == context_.settings.instance || (heard != heard_.end() && now - heard->second <= context_.limits.proxyLife);
+        }));
+    }
+    /// Removes proxies from the store that are gone for good.
+    void removeDead(TimePoint now)
+    {
+        for (const auto &[instance, proxy] : proxies_) {
+            const auto heard = heard_.find(instance);
+            if (instance == context_.settings.instance || heard == heard_.end() || now - heard->second < context_.limits.proxyRemoval) {
+                continue;
+            }
+            heard->second = now;
+            context_.store.remove(
+                leadership::proxyKey(instance), proxy.revision, context_.limits.storeTimeout, [](const Result<Success> &) {});
+            context_.host.log(LogLevel::Info, "proxy_removed", {{"proxy", instance.text()}});
+        }
+    }
+
+private:
+    LeaderContext<Store> &context_;
+    std::map<InstanceName, RegisteredProxy> proxies_;
+    /// When each proxy last renewed its view here, or was first seen.
+    std::map<InstanceName, TimePoint> heard_;
+    /// Revision of this proxy's own entry; 0 until it is registered.
+    Revision registered_;
+    bool failed_ = false;
+};
+
+} // namespace cardamomstep::gateway
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -5,13 +5,13 @@
 #include "evloop/clock.h"
 #include "evloop/httpserver.h"
 #include "gateway/callerlink.h"
-#include "gateway/follower.h"
+#include "gateway/catalogfollower.h"
 #include "gateway/leadershell.h"
 #include "gateway/memberlink.h"
+#include "gateway/sessionplacement.h"
 #include "logging/boundedlog.h"
 #include "metrics/metrics.h"
 #include "relay/engine.h"
-#include "relay/placement.h"
 #include "settings/sessionsettings.h"
 
 #include <utility>
@@ -26,15 +26,6 @@
 
 /// Bounds of the shell.
 struct SessionProxyLimits {
-    /// Longest wait of one watch for the configuration; a third of its deadline is left for calls that fail.
-    Milliseconds configurationWait{2000};
-    /// Longest wait of one watch for members. Watches may miss changes until the next call.
-    Milliseconds memberWait{4000};
-    /// Pause after news from the store.
-    Milliseconds watchSettle{250};
-    BackoffOptions watchBackoff{Milliseconds{60}, Milliseconds{800}};
-    /// A proxy that could not be reached gets no sessions for this long.
-    Milliseconds targetPause{3000};
     /// Time between two writes of the log.
     Milliseconds logInterval{100};
     /// Time that a stopping proxy goes on taking new connections.
@@ -54,6 +45,8 @@
         , settingsFile_(std::move(settingsFile))
         , log_(1, settings.logLevel, settings.instance.text())
         , engine_(settings.failureDomain, seedOf(settings))
+        , placement_(engine_, {settings.instance, settings.failureDomain, settings.listen.sessions})
+        , catalog_(loop, settings_, directory_, catalogHandlers())
         , leadership_(loop, settings, seedOf(settings), leaderHost())
         , acceptor_(loop)
         , sessionAcceptor_(loop)
@@ -88,8 +81,7 @@
             accept(sessionAcceptor_, true);
         }
         accept(acceptor_, false);
-        followConfiguration();
-        followMembers();
+        catalog_.start();
         scheduleLog();
         perform();
         return leadership_.start();
@@ -144,7 +136,7 @@
             this->perform();
         };
         const auto proxiesChanged = [this] {
-            placeSessions();
+            placement_.setProxies(leadership_.sessionTargets());
         };
         return LeaderHost{engine_, directory_, write, perform, proxiesChanged};
     }
@@ -174,7 +166,7 @@
 
     [[nodiscard]] bool ready() const
     {
-        return !engine_.draining() && engine_.routes().known() && membersKnown_ && leadership_.viewCurrent(evloop::bootTimeNow());
+        return !engine_.draining() && engine_.routes().known() && catalog_.membersKnown() && leadership_.viewCurrent(evloop::bootTimeNow());
     }
 
     /// Accepts connections; those of other proxies bring sessions that are served here and not passed on again.
@@ -197,11 +189,12 @@
         CallerLinkHandlers handlers;
         if (!passedOn) {
             handlers.forward = [this, key](const relay::DatabaseName &database) {
-                return forwardTarget(database, key);
+                return placement_.targetOf(database, key);
             };
         }
         handlers.forwardFailed = [this](const Address &proxy) {
-            forwardFailed(proxy);
+            log(LogLevel::Warning, "forward_failed", {{"proxy", proxy.text()}});
+            placement_.failed(proxy);
         };
         handlers.opened = [this, key](const relay::DatabaseName &database) {
             auto opened = engine_.callerOpened(key, database, evloop::bootTimeNow());
@@ -223,207 +216,47 @@
         caller->start();
     }
 
-    // Placement of sessions
-
-    /// Works out anew which proxies hold connections to which members.
-    void placeSessions()
-    {
-        const auto now = evloop::bootTimeNow();
-        auto targets = leadership_.sessionTargets();
-        std::erase_if(targets, [this, now](const LiveInstance &target) {
-            const auto failed = failedTargets_.find(target.address);
-            return target.name != settings_.instance && failed != failedTargets_.end() && now < failed->second;
-        });
-        targets_ = InstanceSet(std::move(targets));
-        self_ = {settings_.instance, settings_.failureDomain, settings_.listen.sessions};
-        for (const auto &[group, config] : engine_.routes().groups()) {
-            const auto holders = holdersOf(config);
-            const bool holds = !relay::forwardTo(targets_, holders, group, self_, 0);
-            engine_.setSharers(group, holds ? holders.sharers : 0);
-        }
-    }
-
-    relay::Holders holdersOf(const relay::GroupConfig &config) const
-    {
-        const auto reserve = relay::EngineLimits{}.reservedConnections;
-        const auto connections = config.memberConnections > reserve ? config.memberConnections - reserve : config.memberConnections;
-        auto holders = relay::holdersFor(targets_, connections);
-        if (settings_.listen.sessions.empty()) {
-            holders.perDomain = 0;
-        }
-        return holders;
-    }
-
-    /// Where a session for \a database is passed on to, if it is.
-    std::optional<Address> forwardTarget(const relay::DatabaseName &database, relay::CallerKey caller)
-    {
-        const auto now = evloop::bootTimeNow();
-        const auto *route = engine_.routes().find(database);
-        const auto *config = route == nullptr ? nullptr : engine_.routes().group(route->group);
-        if (config == nullptr || engine_.draining()) {
-            return std::nullopt;
-        }
-        if (std::erase_if(failedTargets_, [now](const auto &failed) { return now >= failed.second; }) > 0) {
-            placeSessions();
-        }
-        const auto target = relay::forwardTo(targets_, holdersOf(*config), route->group, self_, caller);
-        return target ? std::optional(target->address) : std::nullopt;
-    }
-
-    void forwardFailed(const Address &proxy)
-    {
-        log(LogLevel::Warning, "forward_failed", {{"proxy", proxy.text()}});
-        failedTargets_[proxy] = evloop::bootTimeNow() + limits_.targetPause;
-        placeSessions();
-    }
-
     // Store
 
-    WatchResumeOptions watchOptions(Milliseconds wait) const
-    {
-        return {wait, limits_.watchBackoff};
-    }
-
-    void followConfiguration()
+    CatalogHandlers catalogHandlers()
     {
-        FollowerHandlers handlers;
-        handlers.listed = [this](const StoreListing &listing) {
-            takeConfigurations(listing.objects);
+        CatalogHandlers handlers;
+        handlers.configured = [this](const relay::Configuration &configuration, Revision revision) {
+            takeConfiguration(configuration, revision);
         };
-        handlers.changed = [this](const StoreChanges &changes) {
-            takeConfigurations(changes.changes);
+        handlers.membersChanged = [this] {
+            membersChanged();
         };
-        handlers.failed = [this](const Error &error) {
-            storeFailed("configuration", error);
+        handlers.storeFailed = [this](std::string_view dependency) {
+            metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
         };
-        configuration_ =
-            std::make_shared<Follower<Store>>(loop_,
-                                              Store(loop_, settings_.store),
-                                              ObjectKind{Store::configurationKind},
-                                              watchOptions(std::min(limits_.configurationWait, settings_.configurationDeadline * 2 / 3)),
-                                              limits_.watchSettle,
-                                              stableHash(settings_.instance.text()),
-                                              std::move(handlers));
-        configuration_->step();
-    }
-
-    void takeConfigurations(const std::vector<StoredObject> &objects)
-    {
-        for (const auto &object : objects) {
-            if (object.name.text() == Store::configurationName && !object.deleted) {
-                takeConfiguration(object);
-            }
-        }
-        storeAnswered("configuration");
+        handlers.log = [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
+            log(level, event, fields);
+        };
+        return handlers;
     }
 
-    void takeConfiguration(const StoredObject &object)
+    void takeConfiguration(const relay::Configuration &configuration, Revision revision)
     {
-        const auto configuration = Store::decodeConfiguration(object);
-        if (!configuration) {
-            log(LogLevel::Error, "configuration_unreadable", {{"fault", configuration.error().description}});
-            return;
-        }
-        const auto now = evloop::bootTimeNow();
         const auto before = engine_.routes().version();
-        engine_.configure(*configuration, now);
-        placeSessions();
-        engine_.setMembers(directory_, now);
+        engine_.configure(configuration, evloop::bootTimeNow());
+        placement_.place();
         log(LogLevel::Info,
             "configuration",
-            {{"version", static_cast<std::int64_t>(configuration->version)},
+            {{"version", static_cast<std::int64_t>(configuration.version)},
              {"before", static_cast<std::int64_t>(before)},
-             {"revision", static_cast<std::int64_t>(object.version.value)},
-             {"routes", static_cast<std::int64_t>(configuration->routes.size())}});
+             {"revision", static_cast<std::int64_t>(revision.value)},
+             {"routes", static_cast<std::int64_t>(configuration.routes.size())}});
         membersChanged();
     }
 
-    void followMembers()
-    {
-        FollowerHandlers handlers;
-        handlers.listed = [this](const StoreListing &listing) {
-            std::vector<relay::MemberEntry> entries;
-            for (const auto &object : listing.objects) {
-                if (auto entry = Store::decodeMember(object)) {
-                    entries.push_back(std::move(*entry));
-                }
-            }
-            directory_.replaceAll(entries, evloop::bootTimeNow());
-            membersKnown_ = true;
-            storeAnswered("members");
-            membersChanged();
-        };
-        handlers.changed = [this](const StoreChanges &changes) {
-            for (const auto &object : changes.changes) {
-                takeMember(object);
-            }
-            storeAnswered("members");
-            if (!changes.changes.empty() || directory_.expire(evloop::bootTimeNow())) {
-                membersChanged();
-            }
-        };
-        handlers.failed = [this](const Error &error) {
-            directory_.storeFailed(evloop::bootTimeNow());
-            storeFailed("members", error);
-        };
-        members_ = std::make_shared<Follower<Store>>(loop_,
-                                                     Store(loop_, settings_.store),
-                                                     ObjectKind{Store::memberKind},
-                                                     watchOptions(limits_.memberWait),
-                                                     limits_.watchSettle,
-                                                     stableHash(settings_.instance.text(), 1),
-                                                     std::move(handlers));
-        members_->step();
-    }
-
-    void takeMember(const StoredObject &object)
-    {
-        const MemberName name{object.name.text()};
-        const auto entry = object.deleted ? std::nullopt : Store::decodeMember(object);
-        if (object.deleted) {
-            directory_.remove(name, evloop::bootTimeNow());
-        } else if (entry) {
-            const auto *before = directory_.find(name);
-            const bool changed = before == nullptr || !(*before == *entry);
-            directory_.put(*entry);
-            if (!changed) {
-                return;
-            }
-        }
-        log(LogLevel::Info,
-            "member_entry",
-            {{"member", name.text()},
-             {"group", entry ? entry->group.text() : std::string("-")},
-             {"state", object.deleted ? "gone" : (entry ? (entry->draining ? "draining" : "ready") : "unreadable")},
-             {"claims_primary", static_cast<std::int64_t>(entry && entry->claimsPrimary ? 1 : 0)},
-             {"revision", static_cast<std::int64_t>(object.version.value)}});
-    }
-
     void membersChanged()
     {
-        const auto now = evloop::bootTimeNow();
-        engine_.setMembers(directory_, now);
+        engine_.setMembers(directory_, evloop::bootTimeNow());
         leadership_.membersChanged();
         perform();
     }
 
-    void storeAnswered(std::string_view dependency)
-    {
-        auto &lost = lostDependencies_[std::string(dependency)];
-        if (std::exchange(lost, false)) {
-            log(LogLevel::Info, "dependency_regained", {{"dependency", dependency}});
-        }
-    }
-
-    void storeFailed(std::string_view dependency, const Error &error)
-    {
-        auto &lost = lostDependencies_[std::string(dependency)];
-        if (!std::exchange(lost, true)) {
-            log(LogLevel::Warning, "dependency_lost", {{"dependency", dependency}, {"fault", error.description}});
-        }
-        metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
-    }
-
     // Actions
 
     /// Performs what the engine asks for until it asks for nothing more.
@@ -598,22 +431,15 @@
     Metrics metrics_;
     relay::Engine engine_;
     relay::MemberDirectory directory_;
+    SessionPlacement placement_;
+    CatalogFollower<Store> catalog_;
     LeaderShell<Wire, Store, Promoter> leadership_;
-    bool membersKnown_ = false;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::acceptor sessionAcceptor_;
-    /// Proxies that sessions may be passed on to, this one included.
-    InstanceSet targets_;
-    LiveInstance self_;
-    /// Proxies that could not be reached, and until when they get no sessions.
-    std::map<Address, TimePoint> failedTargets_;
     std::shared_ptr<evloop::HttpServer> readiness_;
     std::shared_ptr<evloop::HttpServer> metricsServer_;
-    std::shared_ptr<Follower<Store>> configuration_;
-    std::shared_ptr<Follower<Store>> members_;
     std::unordered_map<relay::CallerKey, std::shared_ptr<Caller>> callers_;
     std::unordered_map<relay::LinkKey, std::shared_ptr<Member>> memberLinks_;
-    std::unordered_map<std::string, bool> lostDependencies_;
     relay::CallerKey nextCaller_ = 1;
     boost::asio::steady_timer wakeTimer_;
     boost::asio::steady_timer logTimer_;
