Scarce connections go back to those who lack them; orders of a move are given once

Sessions that had been served away from the proxies that plan for connections stayed there; those held their full shares idle, the others tried to open 5,800 connections a second and were refused 108,528 times by the limit. A refusal also kept a proxy from using the connections that it had. Ruled out: missing primaries (all groups had one), the members' speed. Change: within its share a proxy keeps one idle connection after 2 s; what is borrowed goes back at once while the member refuses others; a refusal pauses opens only. News of proxies make a move go on only while it still gathers. Conclusion: half of it; sessions must go back, too.

--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -49,7 +49,7 @@
 void Promotion::proxiesListed(const std::vector<InstanceName> &proxies, TimePoint now)
 {
     proxies_ = std::set<InstanceName>(proxies.begin(), proxies.end());
-    retryAt_ = now;
+    gatherSooner(now);
 }
 
 void Promotion::held(const InstanceName &proxy, const Mark &acknowledged, Milliseconds uptime, TimePoint now)
@@ -57,6 +57,14 @@
     held_[proxy] = uptime >= limits_.knowingUptime;
     acknowledged_ = std::max(acknowledged_, acknowledged);
     if (proxiesSettled(now)) {
+        gatherSooner(now);
+    }
+}
+
+/// Steps that were ordered already are not ordered again for news of proxies.
+void Promotion::gatherSooner(TimePoint now)
+{
+    if (phase_ == Phase::Gathering) {
         retryAt_ = std::min(retryAt_, now);
     }
 }
--- a/src/leadership/promotion.h
+++ b/src/leadership/promotion.h
@@ -140,6 +140,7 @@
     void choose(PromotionActions &actions, TimePoint now);
     void confirming(PromotionActions &actions, TimePoint now);
     void publishing(PromotionActions &actions, TimePoint now);
+    void gatherSooner(TimePoint now);
     void publish(const MemberName &member);
     [[nodiscard]] bool proxiesSettled(TimePoint now) const;
     [[nodiscard]] bool allProxiesKnown() const;
--- a/src/relay/enginelinks.cpp
+++ b/src/relay/enginelinks.cpp
@@ -244,6 +244,9 @@
         return;
     }
     pump(group, now);
+    if (const auto surplus = pool.surplus(now); surplus != 0) {
+        dropLink(surplus, group, pool);
+    }
 }
 
 /// Ends the member's transaction on a link whose caller was answered.
--- a/src/relay/memberpool.cpp
+++ b/src/relay/memberpool.cpp
@@ -60,13 +60,23 @@
     return best;
 }
 
+std::optional<Milliseconds> MemberPool::idlePatience(TimePoint now) const noexcept
+{
+    if (links_.size() > fairShare_) {
+        const bool scarce = limitSeen_ != TimePoint{} && now - limitSeen_ < limits_.scarceFor;
+        return scarce ? Milliseconds{0} : limits_.surplusIdle;
+    }
+    return links_.size() > 1 ? std::optional(limits_.spareIdle) : std::nullopt;
+}
+
 LinkKey MemberPool::surplus(TimePoint now) const noexcept
 {
-    if (links_.size() <= fairShare_) {
+    const auto patience = idlePatience(now);
+    if (!patience) {
         return 0;
     }
     for (const auto &[key, link] : links_) {
-        if (link.phase == LinkPhase::Idle && now - link.since >= limits_.surplusIdle) {
+        if (link.phase == LinkPhase::Idle && now - link.since >= *patience) {
             return key;
         }
     }
@@ -88,10 +98,9 @@
 
 void MemberPool::limitReached(TimePoint now) noexcept
 {
-    surplusFrom_ = now + limits_.limitPause * 4;
-    if (links_.size() <= fairShare_) {
-        pausedUntil_ = now + limits_.limitPause;
-    }
+    limitSeen_ = now;
+    openFrom_ = now + limits_.limitPause;
+    surplusFrom_ = now + limits_.limitPause * 2;
 }
 
 } // namespace cardamomstep::relay
--- a/src/relay/memberpool.h
+++ b/src/relay/memberpool.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,10 +64,14 @@
     /// First and longest pause after a failed open or a broken connection.
     Milliseconds firstPause{100};
     Milliseconds longestPause{1'500};
-    /// Pause after the member refused a connection because of its limit.
+    /// Pause of opens after the member refused a connection because of its limit; above the fair share it is twice as long.
     Milliseconds limitPause{150};
-    /// An idle connection above the fair share is closed after this time.
+    /// An idle connection above the fair share is closed after this time, and at once where connections are scarce.
     Milliseconds surplusIdle{400};
+    /// An idle connection within the fair share is closed after this time; one is kept.
+    Milliseconds spareIdle{2'000};
+    /// Connections count as scarce for this long after the member refused one because of its limit.
+    Milliseconds scarceFor{2'000};
     /// Answer time of a member before any was measured.
     Microseconds firstAnswerTime{25'000};
 };
@@ -106,7 +111,8 @@
     /// True when another connection may be opened at \a now.
     [[nodiscard]] bool mayOpen(TimePoint now) const noexcept
     {
-        return links_.size() < most_ && (links_.size() < fairShare_ || now >= surplusFrom_) && now >= pausedUntil_;
+        const auto from = links_.size() < fairShare_ ? openFrom_ : surplusFrom_;
+        return links_.size() < most_ && now >= from && now >= pausedUntil_;
     }
 
     /// True when the member answered lately, or nothing speaks against it.
@@ -128,7 +134,7 @@
     /// The idle link that needs the least preparation for \a values; null when none is idle.
     [[nodiscard]] Link *bestIdle(const std::map<std::string, std::string> &values) noexcept;
 
-    /// An idle link above the fair share that may be closed; 0 when there is none.
+    /// An idle link that should be closed, so that others can open theirs; 0 when there is none.
     [[nodiscard]] LinkKey surplus(TimePoint now) const noexcept;
 
     [[nodiscard]] std::uint32_t count(LinkPhase phase) const noexcept;
@@ -179,6 +185,9 @@
     TimePoint laggingUntil;
 
 private:
+    /// How long a link may be idle now; nothing when all may stay.
+    [[nodiscard]] std::optional<Milliseconds> idlePatience(TimePoint now) const noexcept;
+
     MemberPoolLimits limits_;
     MemberEntry entry_;
     std::uint32_t fairShare_ = 0;
@@ -186,9 +195,13 @@
     std::map<LinkKey, Link> links_;
     SmoothedTime answerTime_;
     TimePoint lastAnswer_;
+    /// No use is made of the member before.
     TimePoint pausedUntil_;
-    /// Connections above the fair share may be opened from here on.
+    /// Connections within and above the fair share may be opened from here on.
+    TimePoint openFrom_;
     TimePoint surplusFrom_;
+    /// When the member last refused a connection because of its limit.
+    TimePoint limitSeen_;
     std::uint32_t failures_ = 0;
 };
 
--- a/tests/leadership/test_promotion.cpp
+++ b/tests/leadership/test_promotion.cpp
@@ -76,6 +76,37 @@
     cr_assert(promotes.front().member.text() == "r1");
 }
 
+Test(promotion, lateAnswersOfProxiesOrderNothingTwice)
+{
+    auto move = begun(MoveReason::Silent, three);
+    (void)move.next(at(5));
+    std::vector<InstanceName> proxies;
+    for (int number = 0; number < 40; ++number) {
+        proxies.emplace_back("proxy-" + std::to_string(number));
+    }
+    move.proxiesListed(proxies, at(9));
+    move.memberStatus(status("r1", 22));
+    move.memberStatus(status("r2", 21));
+    (void)move.next(at(130));
+    move.memberPaused(status("r1", 22), 2);
+    move.memberPaused(status("r2", 21), 2);
+    std::size_t promotes = 0;
+    std::size_t records = 0;
+    for (std::int64_t time = 700; time < 1700; time += 10) {
+        const auto &proxy = proxies[static_cast<std::size_t>(time / 10) % proxies.size()];
+        move.held(proxy, Mark{}, Seconds{60}, at(time));
+        if (time == 1200) {
+            move.promoted(MemberName{"r1"}, true, false, at(time));
+            move.memberStatus(status("r1", 22, true, 3));
+        }
+        const auto actions = move.next(at(time));
+        promotes += only<PromoteMember>(actions).size();
+        records += only<StoreRecord>(actions).size();
+    }
+    cr_assert(promotes == 1, "%zu orders to promote", promotes);
+    cr_assert(records == 1, "%zu writes of the record", records);
+}
+
 Test(promotion, aSilentProxyIsWaitedOutBeforeAnythingIsPromoted)
 {
     auto move = begun(MoveReason::Silent, three);
