A session whose proxy is lost goes on here, and a session served away from its connections goes back

And callers whose sessions were passed on to a proxy that fell silent waited 2.5 s for it, longer than their own deadlines. Ruled out: the pause after a failed connect (3 s; no failure was logged after 16 s). Change: a proxy follows the sessions that it passes on (values, prepared names, position of the last own write). When the other proxy gives no answer within the statement's timeout and 150 ms, or is gone, reads run again here, writes and commits are told as unknown, and the session goes on here where its state is certain; else it ends as before. A session that is served here although another proxy should ends with an answer at rest, so that the caller's next one is passed on.

--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "evloop/lineconnection.h"
+#include "gateway/forwardtarget.h"
+#include "relay/forwardedsession.h"
 #include "relay/wire.h"
 
 #include <functional>
@@ -19,10 +21,14 @@
     std::function<void(const relay::SessionStatement &statement)> statement;
     /// The connection ended; not called after close().
     std::function<void()> closed;
-    /// The proxy that the session is passed on to; nothing when this process serves it.
-    std::function<std::optional<Address>(const relay::DatabaseName &database)> forward;
+    /// Where the session is passed on to; nothing when this process serves it.
+    std::function<std::optional<ForwardTarget>(const relay::DatabaseName &database)> forward;
     /// A proxy could not be reached, or did not answer.
     std::function<void(const Address &proxy)> forwardFailed;
+    /// A session served here ended at rest, so that the caller's next one goes to \a proxy.
+    std::function<void(const Address &proxy)> endedForTarget;
+    /// Goes on here with a session whose proxy is lost; false when that is not possible.
+    std::function<bool(const relay::CallerSession &session)> adopted;
 };
 
 /// One caller's connection; statements are reported one at a time, the next one after reply().
@@ -47,11 +53,19 @@
     }
 
     /// Sends the answer to the statement under way.
+    ///
+    /// A resting session that another proxy should serve ends with it: the caller's next one is passed on.
     void reply(const relay::CallerReply &reply)
     {
         std::string text;
         Wire::appendReply(text, reply);
         connection_->send(text);
+        const auto target = reply.state == relay::SessionState::Idle && handlers_.forward ? handlers_.forward(database_) : std::nullopt;
+        if (target) {
+            handlers_.endedForTarget(target->proxy);
+            finish();
+            return;
+        }
         connection_->resume();
     }
 
@@ -79,7 +93,8 @@
 private:
     /// Longest time to reach another proxy, and to hear from it while a statement is under way.
     static constexpr Milliseconds forwardConnect{300};
-    static constexpr Milliseconds forwardSilence{2500};
+    /// Time for an answer to come back from the proxy that serves a session, beyond the statement's own timeout.
+    static constexpr Milliseconds forwardMargin{150};
 
     void take(std::string_view line)
     {
@@ -108,20 +123,23 @@
             refuse(Error{ErrorKind::MalformedRequest, "the session is open already"});
             return;
         }
-        const auto proxy = handlers_.forward ? handlers_.forward(start.database) : std::nullopt;
-        if (!proxy) {
-            openHere(start.database);
+        database_ = start.database;
+        const auto target = handlers_.forward ? handlers_.forward(database_) : std::nullopt;
+        if (!target) {
+            openHere();
             return;
         }
+        target_ = *target;
+        session_.emplace(database_);
         connection_->pause();
-        evloop::connect(loop_, *proxy, forwardConnect, [self = this->shared_from_this(), proxy = *proxy, start, line](auto socket) {
-            self->reached(std::move(socket), proxy, start, line);
+        evloop::connect(loop_, target_.proxy, forwardConnect, [self = this->shared_from_this(), line](auto socket) {
+            self->reached(std::move(socket), line);
         });
     }
 
-    void openHere(const relay::DatabaseName &database)
+    void openHere()
     {
-        const auto opened = handlers_.opened ? handlers_.opened(database) : Result<Success>(Error{});
+        const auto opened = handlers_.opened ? handlers_.opened(database_) : Result<Success>(Error{});
         if (!opened) {
             refuse(opened.error());
             return;
@@ -132,22 +150,15 @@
     }
 
     /// The other proxy was reached, or not; then the session is served here.
-    void reached(std::unique_ptr<boost::asio::ip::tcp::socket> socket,
-                 const Address &proxy,
-                 const relay::StartSession &start,
-                 const std::string &line)
+    void reached(std::unique_ptr<boost::asio::ip::tcp::socket> socket, const std::string &line)
     {
         if (!handlers_.closed) {
             return;
         }
         if (!socket) {
-            handlers_.forwardFailed(proxy);
-            openHere(start.database);
-            connection_->resume();
+            serveHere();
             return;
         }
-        proxy_ = proxy;
-        database_ = start.database;
         upstream_ = std::make_shared<evloop::LineConnection>(std::move(*socket), evloop::LineLimits{Wire::maxMessage});
         upstream_->start([self = this->shared_from_this()](std::string_view answer) { self->passBack(answer); },
                          [self = this->shared_from_this()](evloop::LineEnd) { self->upstreamEnded(); });
@@ -162,6 +173,8 @@
             return;
         }
         connection_->pause();
+        const auto *statement = std::get_if<relay::SessionStatement>(&message);
+        session_->sent(statement == nullptr ? relay::SessionStatement{} : *statement);
         sendUpstream(line);
     }
 
@@ -169,7 +182,7 @@
     {
         outstanding_ = true;
         upstream_->send(std::string(line) + "\r\n");
-        silence_.expires_after(forwardSilence);
+        silence_.expires_after(target_.statementTimeout + forwardMargin);
         silence_.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
             if (!error && self->outstanding_ && self->upstream_) {
                 self->upstreamEnded();
@@ -180,17 +193,21 @@
     void passBack(std::string_view line)
     {
         const auto message = Wire::parseMember(line);
-        if (!accepted_ && !std::holds_alternative<relay::MemberReady>(message)) {
+        const auto *ready = std::get_if<relay::MemberReady>(&message);
+        if (!accepted_ && ready == nullptr) {
             // The other proxy may know an older configuration than this one, or be stopping.
             serveHere();
             return;
         }
         connection_->send(std::string(line) + "\r\n");
-        const auto *ready = std::get_if<relay::MemberReady>(&message);
         if (ready == nullptr) {
+            succeeded_ = std::holds_alternative<relay::MemberSuccess>(message);
+            session_->partPassed();
             return;
         }
-        accepted_ = true;
+        if (std::exchange(accepted_, true)) {
+            session_->answered(std::exchange(succeeded_, false), ready->state, ready->position);
+        }
         outstanding_ = false;
         state_ = ready->state;
         silence_.cancel();
@@ -205,25 +222,51 @@
     void serveHere()
     {
         if (handlers_.forwardFailed) {
-            handlers_.forwardFailed(proxy_);
+            handlers_.forwardFailed(target_.proxy);
         }
         outstanding_ = false;
         dropUpstream();
-        openHere(database_);
+        openHere();
         connection_->resume();
     }
 
-    /// The proxy that serves the session ended it, or is gone.
+    /// The proxy that serves the session ended it, or is gone or silent.
     void upstreamEnded()
     {
-        if (!accepted_ && handlers_.closed) {
+        if (!handlers_.closed) {
+            return;
+        }
+        if (!accepted_) {
             serveHere();
             return;
         }
-        if (outstanding_ && handlers_.forwardFailed) {
-            handlers_.forwardFailed(proxy_);
+        if (!outstanding_) {
+            finish();
+            return;
+        }
+        handlers_.forwardFailed(target_.proxy);
+        goOnHere();
+    }
+
+    /// Answers the statement whose answer is lost, or runs it again here, and serves the session from here on.
+    void goOnHere()
+    {
+        outstanding_ = false;
+        dropUpstream();
+        if (!session_->known()) {
+            finish();
+            return;
+        }
+        const auto answer = session_->lost();
+        const bool adopted = handlers_.adopted && handlers_.adopted(session_->session());
+        if (answer) {
+            reply(*answer);
+        }
+        if (!adopted) {
+            finish();
+        } else if (!answer) {
+            handlers_.statement(session_->statement());
         }
-        finish();
     }
 
     void dropUpstream()
@@ -274,12 +317,16 @@
     std::shared_ptr<evloop::LineConnection> connection_;
     CallerLinkHandlers handlers_;
     bool started_ = false;
+    relay::DatabaseName database_;
     /// The connection to the proxy that serves the session; null when this process does.
     std::shared_ptr<evloop::LineConnection> upstream_;
-    Address proxy_;
-    relay::DatabaseName database_;
+    ForwardTarget target_;
+    /// What is known of the session while another proxy serves it.
+    std::optional<relay::ForwardedSession> session_;
     /// The other proxy took the session.
     bool accepted_ = false;
+    /// The answer to the forwarded line told success so far.
+    bool succeeded_ = false;
     /// A forwarded line is not answered yet.
     bool outstanding_ = false;
     relay::SessionState state_ = relay::SessionState::Idle;
--- a/src/gateway/sessionplacement.h
+++ b/src/gateway/sessionplacement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "evloop/clock.h"
+#include "gateway/forwardtarget.h"
 #include "membership/rendezvous.h"
 #include "relay/engine.h"
 #include "relay/placement.h"
@@ -52,7 +53,7 @@
     }
 
     /// Where a session for \a database is passed on to, if it is.
-    std::optional<Address> targetOf(const relay::DatabaseName &database, relay::CallerKey caller)
+    std::optional<ForwardTarget> targetOf(const relay::DatabaseName &database, relay::CallerKey caller)
     {
         const auto now = evloop::bootTimeNow();
         const auto *route = engine_.routes().find(database);
@@ -64,7 +65,7 @@
             place();
         }
         const auto target = relay::forwardTo(targets_, holdersOf(*config), route->group, self_, caller);
-        return target ? std::optional(target->address) : std::nullopt;
+        return target ? std::optional(ForwardTarget{target->address, route->statementTimeout}) : std::nullopt;
     }
 
     void failed(const Address &proxy)
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -196,6 +196,17 @@
             log(LogLevel::Warning, "forward_failed", {{"proxy", proxy.text()}});
             placement_.failed(proxy);
         };
+        handlers.endedForTarget = [this](const Address &proxy) {
+            log(LogLevel::Info, "session_sent_on", {{"proxy", proxy.text()}});
+        };
+        handlers.adopted = [this, key](const relay::CallerSession &session) {
+            const bool adopted = static_cast<bool>(engine_.callerAdopted(key, session, evloop::bootTimeNow()));
+            log(LogLevel::Warning,
+                "session_taken_over",
+                {{"database", session.database().text()}, {"adopted", static_cast<std::int64_t>(adopted ? 1 : 0)}});
+            perform();
+            return adopted;
+        };
         handlers.opened = [this, key](const relay::DatabaseName &database) {
             auto opened = engine_.callerOpened(key, database, evloop::bootTimeNow());
             perform();
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -96,6 +96,8 @@
 
     /// Takes in a new session; the error is ErrorKind::UnknownService or ErrorKind::NotReady and the session does not exist then.
     [[nodiscard]] Result<Success> callerOpened(CallerKey caller, const DatabaseName &database, TimePoint now);
+    /// Takes in a session that another proxy served until now; errors as of callerOpened().
+    [[nodiscard]] Result<Success> callerAdopted(CallerKey caller, const CallerSession &session, TimePoint now);
     void callerStatement(CallerKey caller, const SessionStatement &statement, TimePoint now);
     void callerClosed(CallerKey caller, TimePoint now);
 
@@ -147,8 +149,8 @@
     };
 
     struct Caller {
-        explicit Caller(DatabaseName database)
-            : session(std::move(database))
+        explicit Caller(CallerSession taken)
+            : session(std::move(taken))
         {
         }
 
@@ -209,7 +211,6 @@
     [[nodiscard]] bool worthAsking(Caller &caller, TimePoint now);
     void endTransaction(Caller &caller, TimePoint now);
     void setTimer(CallerKey key, Caller &caller, std::optional<TimePoint> at);
-    [[nodiscard]] Stake stakeOf(const Caller &caller) const;
     [[nodiscard]] bool needsPrimary(const Caller &caller) const;
     /// True when the statement waits for a primary, and not for a connection.
     [[nodiscard]] bool lacksPrimary(const Caller &caller, const Group &group, TimePoint now) const;
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -27,7 +27,15 @@
                                            {"configuration", static_cast<std::int64_t>(routes_.version())}}});
         return Error{ErrorKind::UnknownService, database.text()};
     }
-    auto &caller = callers_.emplace(key, Caller(database)).first->second;
+    return callerAdopted(key, CallerSession(database), now);
+}
+
+Result<Success> Engine::callerAdopted(CallerKey key, const CallerSession &session, TimePoint now)
+{
+    if (routes_.find(session.database()) == nullptr) {
+        return Error{ErrorKind::UnknownService, session.database().text()};
+    }
+    auto &caller = callers_.emplace(key, Caller(session)).first->second;
     caller.arrived = now;
     if (drainUntil_) {
         setTimer(key, caller, now + limits_.stoppingRest);
@@ -229,7 +237,8 @@
         fail(key, caller, Error{kind, "no connection became free in time"}.comingBackAfter(comeBack(group)), now);
         return;
     }
-    const bool early = caller.activity == Activity::Running && stakeOf(caller) == Stake::Read && now < caller.giveUpAt;
+    const bool early =
+        caller.activity == Activity::Running && stakeOf(caller.session, caller.statement) == Stake::Read && now < caller.giveUpAt;
     if (early && !worthAsking(caller, now)) {
         setTimer(key, caller, std::min<TimePoint>(caller.giveUpAt, now + limits_.readPatience / 2));
         return;
@@ -268,18 +277,6 @@
     }
 }
 
-Stake Engine::stakeOf(const Caller &caller) const
-{
-    const auto &session = caller.session;
-    if (session.phase() == TransactionPhase::None) {
-        return session.writes(caller.statement) ? Stake::Write : Stake::Read;
-    }
-    if (caller.statement.kind == StatementKind::Commit) {
-        return session.wrote() ? Stake::CommitOfWrites : Stake::CommitOfReads;
-    }
-    return Stake::Inside;
-}
-
 /// True when only the primary can serve the statement, whatever the replicas hold.
 bool Engine::needsPrimary(const Caller &caller) const
 {
--- a/src/relay/enginelending.cpp
+++ b/src/relay/enginelending.cpp
@@ -181,7 +181,7 @@
     await(link, ReplyPurpose::Statement, now, caller.route.statementTimeout);
     caller.activity = Activity::Running;
     caller.sentAt = now;
-    const auto stake = stakeOf(caller);
+    const auto stake = stakeOf(caller.session, caller.statement);
     if (stake == Stake::Write || stake == Stake::CommitOfWrites) {
         group.stalledSince = group.stalledSince.value_or(now);
     }
--- a/src/relay/enginelinks.cpp
+++ b/src/relay/enginelinks.cpp
@@ -111,7 +111,7 @@
 {
     const auto key = link.caller;
     auto &caller = callers_.at(key);
-    const auto stake = stakeOf(caller);
+    const auto stake = stakeOf(caller.session, caller.statement);
     const bool lasting = stake == Stake::Write || stake == Stake::CommitOfWrites;
     if (lasting && caller.sealed && !reply.fault) {
         exchangeFailed(key, caller, ExchangeEnd::Broken, std::nullopt, now);
@@ -151,7 +151,7 @@
 void Engine::exchangeFailed(CallerKey key, Caller &caller, ExchangeEnd end, std::optional<MemberFault> fault, TimePoint now)
 {
     const bool announced = caller.session.phase() == TransactionPhase::Announced;
-    const auto stake = announced ? Stake::Read : stakeOf(caller);
+    const auto stake = announced ? Stake::Read : stakeOf(caller.session, caller.statement);
     auto outcome = judge(stake, end, fault);
     Group *group = nullptr;
     MemberPool *pool = nullptr;
--- a/src/relay/outcome.cpp
+++ b/src/relay/outcome.cpp
@@ -60,6 +60,17 @@
 
 } // namespace
 
+Stake stakeOf(const CallerSession &session, const SessionStatement &statement)
+{
+    if (session.phase() == TransactionPhase::None) {
+        return session.writes(statement) ? Stake::Write : Stake::Read;
+    }
+    if (statement.kind == StatementKind::Commit) {
+        return session.wrote() ? Stake::CommitOfWrites : Stake::CommitOfReads;
+    }
+    return Stake::Inside;
+}
+
 Outcome judge(Stake stake, ExchangeEnd end, std::optional<MemberFault> fault)
 {
     if (end == ExchangeEnd::NotSent) {
--- a/src/relay/outcome.h
+++ b/src/relay/outcome.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "relay/callersession.h"
 #include "relay/message.h"
 
 #include <optional>
@@ -17,6 +18,9 @@
     CommitOfWrites, ///< The commit of a transaction that wrote.
 };
 
+/// What is at stake when \a statement of \a session, which goes to a member, is not answered with success.
+[[nodiscard]] Stake stakeOf(const CallerSession &session, const SessionStatement &statement);
+
 /// How an exchange with a member went wrong.
 enum class ExchangeEnd : std::uint8_t {
     NotSent, ///< Nothing of the statement left this process.
--- a/tests/platform/test_callerlink.cpp
+++ b/tests/platform/test_callerlink.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr Milliseconds statementTimeout{40};
+
 using Link = gateway::CallerLink<platform::LineProtocol>;
 
 /// A caller's link whose sessions are passed on to a proxy that is played by the test.
@@ -31,17 +33,38 @@
             ++openedHere;
             return Result<Success>(Success{});
         };
-        handlers.statement = [](const relay::SessionStatement &) {
+        handlers.statement = [this](const relay::SessionStatement &statement) {
+            runHere.push_back(statement.id);
         };
         handlers.closed = [] {
         };
         handlers.forward = [address](const relay::DatabaseName &) {
-            return std::optional<Address>(address);
+            return reachable ? std::optional(gateway::ForwardTarget{address, statementTimeout}) : std::nullopt;
+        };
+        handlers.adopted = [this](const relay::CallerSession &session) {
+            adopted = session;
+            return true;
         };
         handlers.forwardFailed = [this](const Address &) {
             ++failures;
         };
-        std::make_shared<Link>(loop, std::move(accepted), std::move(handlers))->start();
+        handlers.endedForTarget = [this](const Address &) {
+            ++sentOn;
+        };
+        link = std::make_shared<Link>(loop, std::move(accepted), std::move(handlers));
+        link->start();
+    }
+
+    /// Opens a session that the other proxy takes.
+    void open()
+    {
+        asio::write(caller, asio::buffer(std::string("START db who\r\n")));
+        turn();
+        proxy.accept(upstream);
+        (void)readLine(upstream);
+        asio::write(upstream, asio::buffer(std::string("READY I -\r\n")));
+        turn();
+        (void)readLine(caller);
     }
 
     void turn()
@@ -64,6 +87,11 @@
     tcp::socket upstream;
     int openedHere = 0;
     int failures = 0;
+    int sentOn = 0;
+    bool reachable = true;
+    std::shared_ptr<Link> link;
+    std::optional<relay::CallerSession> adopted;
+    std::vector<std::string> runHere;
 };
 
 } // namespace
@@ -105,3 +133,53 @@
     cr_assert(Forwarding::readLine(forwarding.caller) == "READY I -\r\n");
     cr_assert(forwarding.openedHere == 1);
 }
+
+// Seen on convenio-cantabrico-grown trouble-3: the proxy that held the connections was cut off, and callers waited for it until their own
+// deadlines passed.
+Test(platform, aReadWhoseProxyFallsSilentRunsHere)
+{
+    Forwarding forwarding;
+    forwarding.open();
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY r1 READ a\r\n")));
+    forwarding.turn();
+    cr_assert(forwarding.runHere.empty(), "not before its time is over");
+    for (int turn = 0; turn < 5 && forwarding.runHere.empty(); ++turn) {
+        forwarding.turn();
+    }
+    cr_assert(forwarding.runHere == std::vector<std::string>{"r1"});
+    cr_assert(forwarding.adopted && forwarding.failures == 1);
+}
+
+Test(platform, aWriteWhoseProxyIsLostIsToldAsUnknown)
+{
+    Forwarding forwarding;
+    forwarding.open();
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY w1 WRITE a 1\r\n")));
+    forwarding.turn();
+    forwarding.upstream.close();
+    forwarding.turn();
+    const auto error = Forwarding::readLine(forwarding.caller);
+    cr_assert(error.starts_with("ERROR ") && error.find("MALFORMED") == std::string::npos, "%s", error.c_str());
+    cr_assert(forwarding.runHere.empty() && forwarding.adopted);
+}
+
+// Seen on convenio-cantabrico-grown trouble-3: sessions that were served away from the connections while a proxy was cut off stayed there.
+Test(platform, aSessionGoesBackToItsProxyWhenItRests)
+{
+    Forwarding forwarding;
+    forwarding.reachable = false;
+    asio::write(forwarding.caller, asio::buffer(std::string("START db who\r\n")));
+    forwarding.turn();
+    (void)Forwarding::readLine(forwarding.caller);
+    cr_assert(forwarding.openedHere == 1);
+    relay::CallerReply reply;
+    forwarding.link->reply(reply);
+    cr_assert(forwarding.sentOn == 0, "nowhere to go yet");
+    forwarding.reachable = true;
+    reply.state = relay::SessionState::InTransaction;
+    forwarding.link->reply(reply);
+    cr_assert(forwarding.sentOn == 0, "not inside a transaction");
+    reply.state = relay::SessionState::Idle;
+    forwarding.link->reply(reply);
+    cr_assert(forwarding.sentOn == 1);
+}
