--- a/src/gateway/leadercontext.h
+++ b/src/gateway/leadercontext.h
@@ -43,10 +43,6 @@
     /// Each primary is asked at least this often whether it leads.
     Milliseconds probeInterval{1000};
     Milliseconds controlPatience{400};
-    /// A proxy that did not renew its view for this long holds no connections.
-    Milliseconds proxyLife{3000};
-    /// A proxy that did not renew its view for this long is removed from the store.
-    Milliseconds proxyRemoval{20'000};
     /// A tick that comes this late means that this process stood still.
     Milliseconds standstill{500};
     WatchResumeOptions watch{Milliseconds{25'000}, BackoffOptions{Milliseconds{100}, Milliseconds{1000}}};
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -9,6 +9,7 @@
 #include "gateway/leasekeeper.h"
 #include "gateway/membercontrols.h"
 #include "gateway/primarywatch.h"
+#include "gateway/proxymetrics.h"
 #include "gateway/proxyregistry.h"
 #include "gateway/viewkeeper.h"
 #include "leadership/recordjson.h"
@@ -82,6 +83,14 @@
         return now < context_.views.validUntil() + Milliseconds{500};
     }
 
+    /// What the metrics page shows.
+    [[nodiscard]] LeadershipGauges gauges(TimePoint now) const
+    {
+        return {context_.lease.holds(now),
+                wholeMilliseconds(context_.views.validUntil() - now),
+                static_cast<std::uint32_t>(registry_.all().size())};
+    }
+
     /// The registered proxies that take sessions of others, as targets of sessions.
     [[nodiscard]] std::vector<LiveInstance> sessionTargets() const
     {
@@ -259,6 +268,7 @@
 
     void tookLease()
     {
+        registry_.restart(evloop::bootTimeNow());
         watch_.clear();
         moves_.clear();
     }
@@ -279,7 +289,7 @@
         views.renew(views.all(), std::min(now, lease.validUntil() - leadership::viewLease));
         viewsChanged(now);
         // Views that an earlier holder granted have ended by then.
-        const bool mayMove = now - lease.takenAt() >= leadership::viewLease;
+        const bool mayMove = now - std::max(lease.takenAt(), registry_.removedAt()) >= leadership::viewLease;
         for (const auto &[group, config] : context_.host.engine.routes().groups()) {
             const auto *record = views.find(group);
             if (record == nullptr) {
--- a/src/gateway/primarywatch.h
+++ b/src/gateway/primarywatch.h
@@ -33,13 +33,17 @@
             watched.generation = record.generation;
             watched.suspicion.restart(record.generation, now);
         }
+        const bool registered = context_.host.directory.find(record.primary) != nullptr;
+        if (registered) {
+            watched.suspicion.registered();
+        }
         watched.suspicion.sight(context_.settings.instance, sightingOf(context_.host.engine, record, now), now);
         const auto answered = context_.host.engine.lastAnswer(record.group, record.primary);
         const bool quiet = now - answered >= context_.limits.probeAfter && now - watched.probedAt >= context_.limits.probeAfter;
         if (!quiet && now - watched.probedAt < context_.limits.probeInterval) {
             return;
         }
-        if (context_.host.directory.find(record.primary) == nullptr) {
+        if (!registered) {
             return;
         }
         watched.probedAt = now;
@@ -52,6 +56,7 @@
             found->second.suspicion.probed(!answer.account || answer.account->primary, evloop::bootTimeNow());
         });
     }
+
     /// Takes in what another proxy sees.
     void sighted(const fleet::RenewRequest &request, TimePoint now)
     {
--- /dev/null
+++ b/src/gateway/proxymetrics.h
@@ -0,0 +1,100 @@
+// The session proxy's counters, time distributions and gauges.
+#pragma once
+
+#include "base/errorkind.h"
+#include "metrics/metrics.h"
+#include "relay/action.h"
+#include "relay/engine.h"
+
+#include <string>
+#include <string_view>
+
+namespace cardamomstep::gateway {
+
+/// What the gauges show of the leadership.
+struct LeadershipGauges {
+    bool holdsLease = false;
+    /// Time for which the view of primaries is still good; negative when it has ended.
+    Milliseconds viewLeft{0};
+    std::uint32_t proxies = 0;
+};
+
+/// Names and keeps all values of the metrics page.
+class ProxyMetrics
+{
+public:
+    /// Takes in one answer to a caller.
+    void answered(const relay::ReplyToCaller &answer)
+    {
+        const auto outcome = answer.reply.error ? std::string(answerRule(answer.reply.error->kind).name) : std::string("ok");
+        const auto labels =
+            "{kind=\"" + std::string(nameOf(answer.kind)) + "\",outcome=\"" + outcome + "\",group=\"" + answer.group.text() + "\"}";
+        metrics_.count("statements_total" + labels);
+        metrics_.observe("statement_ms" + labels, answer.took);
+    }
+
+    void memberConnectionOpened()
+    {
+        metrics_.count("member_connections_total");
+    }
+
+    void storeFailed(std::string_view dependency)
+    {
+        metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
+    }
+
+    /// A session was served here in place of another proxy, or sent back to it.
+    void sessionMoved(std::string_view how)
+    {
+        metrics_.count("sessions_moved_total{how=\"" + std::string(how) + "\"}");
+    }
+
+    /// Sets the gauges and returns the whole page.
+    [[nodiscard]] std::string page(const relay::Engine &engine, const LeadershipGauges &leadership, std::uint64_t droppedLines)
+    {
+        metrics_.set("sessions", static_cast<double>(engine.callers()));
+        metrics_.set("configuration_version", static_cast<double>(engine.routes().version()));
+        metrics_.set("lease_held", leadership.holdsLease ? 1 : 0);
+        metrics_.set("view_left_ms", static_cast<double>(leadership.viewLeft.count()));
+        metrics_.set("proxies_registered", static_cast<double>(leadership.proxies));
+        metrics_.set("log_lines_dropped", static_cast<double>(droppedLines));
+        for (const auto &group : engine.status()) {
+            const auto labels = "{group=\"" + group.group.text() + "\"}";
+            metrics_.set("statements_waiting" + labels, static_cast<double>(group.waiting));
+            metrics_.set("member_connections_open" + labels, static_cast<double>(group.links));
+            metrics_.set("member_connections_lent" + labels, static_cast<double>(group.lentLinks));
+            metrics_.set("primary_generation" + labels, static_cast<double>(group.primary.generation));
+        }
+        return metrics_.page();
+    }
+
+private:
+    static std::string_view nameOf(relay::StatementKind kind) noexcept
+    {
+        switch (kind) {
+        case relay::StatementKind::Begin:
+            return "begin";
+        case relay::StatementKind::Commit:
+            return "commit";
+        case relay::StatementKind::Rollback:
+            return "rollback";
+        case relay::StatementKind::Read:
+            return "read";
+        case relay::StatementKind::Write:
+            return "write";
+        case relay::StatementKind::Execute:
+            return "execute";
+        case relay::StatementKind::SetValue:
+        case relay::StatementKind::Prepare:
+        case relay::StatementKind::Deallocate:
+            return "session";
+        case relay::StatementKind::Malformed:
+            break;
+        }
+        return "malformed";
+    }
+
+    Metrics metrics_;
+};
+
+} // namespace cardamomstep::gateway
--- a/src/gateway/proxyregistry.h
+++ b/src/gateway/proxyregistry.h
@@ -3,6 +3,7 @@
 
 #include "evloop/clock.h"
 #include "gateway/leadercontext.h"
+#include "leadership/attendance.h"
 #include "leadership/recordjson.h"
 #include "membership/rendezvous.h"
 
@@ -54,6 +55,7 @@
             failed_ = true;
         });
     }
+
     /// Registers again where the store refused or did not answer.
     void retry()
     {
@@ -62,6 +64,16 @@
         }
     }
 
+    /// Takes in that the store holds no entry of this proxy, though it should.
+    void missed()
+    {
+        if (registered()) {
+            registered_ = Revision{};
+            failed_ = true;
+            context_.host.log(LogLevel::Warning, "entry_missed", {});
+        }
+    }
+
     [[nodiscard]] bool registered() const noexcept
     {
         return registered_.value != 0;
@@ -71,13 +83,16 @@
     void put(const leadership::ProxyEntry &entry, Revision revision, TimePoint now)
     {
         proxies_[entry.instance] = {entry, revision};
-        heard_.try_emplace(entry.instance, now);
+        attendance_.known(entry.instance, now);
     }
 
     void remove(const InstanceName &instance)
     {
         proxies_.erase(instance);
-        heard_.erase(instance);
+        attendance_.forget(instance);
+        if (instance == context_.settings.instance) {
+            missed();
+        }
     }
 
     void clear()
@@ -120,40 +135,52 @@
     /// Notes that \a instance renewed its view here or through a proxy that did.
     void heard(const InstanceName &instance, TimePoint now)
     {
-        heard_[instance] = now;
+        attendance_.heard(instance, now);
+    }
+
+    /// Gives every proxy time to be heard of, when this process takes the lease.
+    void restart(TimePoint now)
+    {
+        attendance_.restart(now);
     }
 
     /// Proxies that were heard of lately, this one included.
     [[nodiscard]] std::uint32_t live(TimePoint now) const
     {
         return static_cast<std::uint32_t>(std::count_if(proxies_.begin(), proxies_.end(), [this, now](const auto &proxy) {
-            const auto heard = heard_.find(proxy.first);
-            return proxy.first == context_.settings.instance || (heard != heard_.end() && now - heard->second <= context_.limits.proxyLife);
+            return proxy.first == context_.settings.instance || attendance_.lives(proxy.first, now);
         }));
     }
+
     /// Removes proxies from the store that are gone for good.
     void removeDead(TimePoint now)
     {
         for (const auto &[instance, proxy] : proxies_) {
-            const auto heard = heard_.find(instance);
-            if (instance == context_.settings.instance || heard == heard_.end() || now - heard->second < context_.limits.proxyRemoval) {
+            if (instance == context_.settings.instance || !attendance_.gone(instance, now)) {
                 continue;
             }
-            heard->second = now;
+            attendance_.heard(instance, now);
+            removedAt_ = now;
             context_.store.remove(
                 leadership::proxyKey(instance), proxy.revision, context_.limits.storeTimeout, [](const Result<Success> &) {});
             context_.host.log(LogLevel::Info, "proxy_removed", {{"proxy", instance.text()}});
         }
     }
 
+    /// When a proxy was last removed; its view may last for a view lease from then.
+    [[nodiscard]] TimePoint removedAt() const noexcept
+    {
+        return removedAt_;
+    }
+
 private:
     LeaderContext<Store> &context_;
     std::map<InstanceName, RegisteredProxy> proxies_;
-    /// When each proxy last renewed its view here, or was first seen.
-    std::map<InstanceName, TimePoint> heard_;
+    leadership::Attendance attendance_;
     /// Revision of this proxy's own entry; 0 until it is registered.
     Revision registered_;
     bool failed_ = false;
+    TimePoint removedAt_;
 };
 
 } // namespace cardamomstep::gateway
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -8,9 +8,9 @@
 #include "gateway/catalogfollower.h"
 #include "gateway/leadershell.h"
 #include "gateway/memberlink.h"
+#include "gateway/proxymetrics.h"
 #include "gateway/sessionplacement.h"
 #include "logging/boundedlog.h"
-#include "metrics/metrics.h"
 #include "relay/engine.h"
 #include "settings/sessionsettings.h"
 
@@ -159,7 +159,7 @@
     Result<Success> serveMetrics()
     {
         metricsServer_ = std::make_shared<evloop::HttpServer>(loop_, [this](const std::string &) {
-            return evloop::HttpPage{200, metrics_.page()};
+            return evloop::HttpPage{200, metrics_.page(engine_, leadership_.gauges(evloop::bootTimeNow()), log_.dropped())};
         });
         return metricsServer_->listen(settings_.listen.metrics);
     }
@@ -198,12 +198,14 @@
         };
         handlers.endedForTarget = [this](const Address &proxy) {
             log(LogLevel::Info, "session_sent_on", {{"proxy", proxy.text()}});
+            metrics_.sessionMoved("sent_on");
         };
         handlers.adopted = [this, key](const relay::CallerSession &session) {
             const bool adopted = static_cast<bool>(engine_.callerAdopted(key, session, evloop::bootTimeNow()));
             log(LogLevel::Warning,
                 "session_taken_over",
                 {{"database", session.database().text()}, {"adopted", static_cast<std::int64_t>(adopted ? 1 : 0)}});
+            metrics_.sessionMoved("taken_over");
             perform();
             return adopted;
         };
@@ -239,7 +241,7 @@
             membersChanged();
         };
         handlers.storeFailed = [this](std::string_view dependency) {
-            metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
+            metrics_.storeFailed(dependency);
         };
         handlers.log = [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
             log(level, event, fields);
@@ -289,8 +291,7 @@
     void carryOut(relay::ReplyToCaller &action)
     {
         const auto caller = callers_.find(action.caller);
-        metrics_.count(action.reply.error ? "statements_total{outcome=\"" + std::string(answerRule(action.reply.error->kind).name) + "\"}"
-                                          : "statements_total{outcome=\"ok\"}");
+        metrics_.answered(action);
         if (caller != callers_.end()) {
             // The reply may bring the caller's next statement, and with it the end of the session.
             const auto link = caller->second;
@@ -330,7 +331,7 @@
         };
         const auto link = std::make_shared<Member>(std::move(handlers));
         memberLinks_.emplace(key, link);
-        metrics_.count("member_connections_total");
+        metrics_.memberConnectionOpened();
         link->open(loop_, action.address, action.group, action.member);
     }
 
@@ -439,7 +440,7 @@
     std::string settingsFile_;
     SessionProxyLimits limits_;
     BoundedLog log_;
-    Metrics metrics_;
+    ProxyMetrics metrics_;
     relay::Engine engine_;
     relay::MemberDirectory directory_;
     SessionPlacement placement_;
--- a/src/gateway/viewkeeper.h
+++ b/src/gateway/viewkeeper.h
@@ -62,7 +62,8 @@
         handlers_.sighted(request, now);
         if (!context_.lease.holds(now)) {
             // A view is passed on with its age, so it ends for the asker when it ends here.
-            reply.granted = now - context_.views.asOf() < leadership::viewLease * 3 / 4;
+            // Moves wait for the views of registered proxies only.
+            reply.granted = now - context_.views.asOf() < leadership::viewLease * 3 / 4 && registry_.find(request.instance) != nullptr;
             reply.age = std::chrono::ceil<Milliseconds>(now - context_.views.asOf());
             reply.liveProxies = liveProxies_;
             reply.records = context_.views.current();
@@ -114,6 +115,8 @@
 private:
     /// Calls to a proxy that fail in a row before its connection is made anew.
     static constexpr unsigned failuresToForget = 2;
+    /// A proxy that did not ask here for this long is not spoken for.
+    static constexpr Milliseconds clientLife{3000};
 
     /// Asks the holder, or a proxy that asks it, for its view.
     void askProxy(TimePoint now)
@@ -142,7 +145,7 @@
             asked.sinceStore = wholeMilliseconds(now - context_.storeAnsweredAt);
         }
         for (const auto &[instance, heardAt] : clients_) {
-            if (now - heardAt <= context_.limits.proxyLife) {
+            if (now - heardAt <= clientLife) {
                 asked.clients.push_back(instance);
             }
         }
@@ -188,17 +191,30 @@
             if (!listing) {
                 return;
             }
-            std::vector<leadership::GroupRecord> records;
-            for (const auto &object : listing->objects) {
-                const auto decoded = leadership::decodeFleetObject(object);
-                if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded)) {
-                    records.push_back(*record);
-                }
-            }
-            context_.views.renew(records, now);
-            context_.takeListing(*listing, evloop::bootTimeNow());
+            takeStoredView(*listing, now);
         });
     }
+    /// Takes the view that the store held at \a askedAt; only a registered proxy is waited for by moves, so only it may use one.
+    void takeStoredView(const StoreListing &listing, TimePoint askedAt)
+    {
+        bool registered = false;
+        std::vector<leadership::GroupRecord> records;
+        for (const auto &object : listing.objects) {
+            const auto decoded = leadership::decodeFleetObject(object);
+            if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded)) {
+                records.push_back(*record);
+            } else if (const auto *proxy = std::get_if<leadership::ProxyEntry>(&decoded)) {
+                registered = registered || proxy->instance == context_.settings.instance;
+            }
+        }
+        if (registered) {
+            context_.views.renew(records, askedAt);
+        } else {
+            registry_.missed();
+        }
+        context_.takeListing(listing, evloop::bootTimeNow());
+    }
+
     LeaderContext<Store> &context_;
     LeaseKeeper<Store> &lease_;
     ProxyRegistry<Store> &registry_;
--- a/src/leadership/fwd.h
+++ b/src/leadership/fwd.h
@@ -7,6 +7,7 @@
 class HolderLease;
 class ViewBook;
 class Suspicion;
+class Attendance;
 class Promotion;
 
 } // namespace cardamomstep::leadership
--- a/src/leadership/suspicion.cpp
+++ b/src/leadership/suspicion.cpp
@@ -27,6 +27,7 @@
     generation_ = generation;
     since_ = now;
     lastAnswer_ = now;
+    registered_ = false;
     seen_.clear();
     deniedSince_.reset();
 }
@@ -61,7 +62,7 @@
 
 std::optional<MoveReason> Suspicion::judge(TimePoint now) const
 {
-    if (now - lastAnswer_ >= limits_.silence) {
+    if (now - lastAnswer_ >= (registered_ ? limits_.silence : limits_.unregisteredSilence)) {
         return MoveReason::Silent;
     }
     if (deniedSince_ && now - *deniedSince_ >= limits_.denial) {
--- a/src/leadership/suspicion.h
+++ b/src/leadership/suspicion.h
@@ -15,6 +15,8 @@
 struct SuspicionLimits {
     /// Silence towards every proxy after which a primary counts as dead.
     Milliseconds silence{500};
+    /// The same for a primary that was not registered since restart(): its address is not known, so its silence says little.
+    Milliseconds unregisteredSilence{2500};
     /// Writes unanswered for this long, with the primary alive, mean that it cannot replicate.
     Milliseconds stall{1500};
     /// A sighting older than this says nothing.
@@ -54,6 +56,12 @@
     /// Takes in a probe of the holder's own: an answer, with the member's word on whether it leads.
     void probed(bool leads, TimePoint now);
 
+    /// Takes in that the primary is registered.
+    void registered() noexcept
+    {
+        registered_ = true;
+    }
+
     /// Why the primary should be replaced, if it should.
     [[nodiscard]] std::optional<MoveReason> judge(TimePoint now) const;
 
@@ -69,6 +77,8 @@
     TimePoint since_;
     std::map<InstanceName, Seen> seen_;
     TimePoint lastAnswer_;
+    /// The primary was registered at some time since restart().
+    bool registered_ = false;
     std::optional<TimePoint> deniedSince_;
 };
 
--- a/src/relay/action.h
+++ b/src/relay/action.h
@@ -15,6 +15,11 @@
 struct ReplyToCaller {
     CallerKey caller = 0;
     CallerReply reply;
+    /// Empty where no group was involved.
+    GroupName group;
+    StatementKind kind = StatementKind::Malformed;
+    /// From the statement's arrival to this answer.
+    Microseconds took{0};
 };
 
 /// End a caller's session once what was sent has left.
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -135,7 +135,7 @@
     }
     caller.activity = Activity::Resting;
     const auto state = reply.state;
-    actions_.emplace_back(ReplyToCaller{key, std::move(reply)});
+    actions_.emplace_back(ReplyToCaller{key, std::move(reply), caller.group, caller.statement.kind, now - caller.arrived});
     if (state != SessionState::Idle) {
         auto due = now + routes_.transactionIdle();
         if (drainUntil_) {
--- a/tests/leadership/test_leadership.cpp
+++ b/tests/leadership/test_leadership.cpp
@@ -1,4 +1,5 @@
 // Tests of the lease, the view book and the suspicion of primaries.
+#include "leadership/attendance.h"
 #include "leadership/lease.h"
 #include "leadership/recordjson.h"
 #include "leadership/suspicion.h"
@@ -184,6 +185,7 @@
 {
     Suspicion suspicion;
     suspicion.restart(1, at(0));
+    suspicion.registered();
     PrimarySighting seen;
     seen.generation = 1;
     seen.sinceAnswer = Milliseconds{50};
@@ -194,6 +196,18 @@
     cr_assert(suspicion.judge(at(2000 + 500)) == MoveReason::Silent);
 }
 
+// Seen on convenio-cantabrico-grown trouble-3: after an outage of the store and a restart of all proxies, four live primaries were replaced
+// before they had registered again.
+Test(leadership, aPrimaryThatHasNotRegisteredYetIsWaitedFor)
+{
+    Suspicion suspicion;
+    suspicion.restart(1, at(0));
+    cr_assert(!suspicion.judge(at(1700)), "its address is not known yet");
+    cr_assert(suspicion.judge(at(2500)) == MoveReason::Silent, "but not for ever");
+    suspicion.registered();
+    cr_assert(suspicion.judge(at(1700)) == MoveReason::Silent);
+}
+
 Test(leadership, aPrimaryThatDeniesToLeadIsReplaced)
 {
     Suspicion suspicion;
@@ -204,6 +218,21 @@
     cr_assert(suspicion.judge(at(650)) == MoveReason::Denied);
 }
 
+// Seen on convenio-cantabrico-grown trouble-1: a proxy that took the lease 20 s after its start removed all others from the store.
+Test(leadership, aNewHolderGivesEachProxyTimeToBeHeardOf)
+{
+    Attendance attendance;
+    const InstanceName other{"other"};
+    attendance.known(other, at(0));
+    attendance.known(other, at(25'000));
+    cr_assert(attendance.gone(other, at(25'000)), "nobody tells a proxy without the lease who lives");
+    attendance.restart(at(25'000));
+    cr_assert(!attendance.gone(other, at(44'000)) && attendance.lives(other, at(27'000)));
+    attendance.heard(other, at(44'000));
+    cr_assert(!attendance.gone(other, at(60'000)));
+    cr_assert(attendance.gone(other, at(64'000)) && !attendance.lives(other, at(64'000)));
+}
+
 Test(leadership, fleetObjectsReadAsTheyWereWritten)
 {
     StoredObject object;
