--- a/src/cli/story.cpp
+++ b/src/cli/story.cpp
@@ -63,13 +63,18 @@
     return line;
 }
 
+bool RequestStory::tellsOf(const LogLine &line, const std::string &field) const
+{
+    const auto found = line.fields.find(field);
+    return found != line.fields.end() && found->second == id_;
+}
+
 void RequestStory::read(std::istream &log)
 {
     std::string text;
     while (std::getline(log, text)) {
         auto line = parseLogLine(text);
-        const auto id = line.fields.find("id");
-        if (id != line.fields.end() && id->second == id_) {
+        if (tellsOf(line, "id") || tellsOf(line, "transaction")) {
             lines_.push_back(std::move(line));
         } else if (beliefEvents.contains(line.event)) {
             beliefs_.push_back(std::move(line));
--- a/src/cli/story.h
+++ b/src/cli/story.h
@@ -41,6 +41,9 @@
     [[nodiscard]] std::vector<LogLine> beliefs() const;
 
 private:
+    [[nodiscard]] bool tellsOf(const LogLine &line, const std::string &field) const;
+
+    /// Of a statement, or of the one that began its transaction.
     std::string id_;
     std::vector<LogLine> lines_;
     std::vector<LogLine> beliefs_;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -157,6 +157,8 @@
         CallerSession session;
         Activity activity = Activity::Resting;
         SessionStatement statement;
+        /// Id of the statement that began the transaction; empty outside of one.
+        std::string transaction;
         /// The route as of the statement, or of the first one of its transaction.
         Route route;
         TimePoint arrived;
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -59,6 +59,9 @@
         fail(key, caller, Error{ErrorKind::Draining, "this proxy is stopping"}.comingBackAfter(limits_.minRetryAfter), now);
         return;
     }
+    if (caller.session.phase() == TransactionPhase::None) {
+        caller.transaction = statement.kind == StatementKind::Begin ? statement.id : std::string();
+    }
     CallerReply reply;
     const auto need = caller.session.take(statement, reply);
     if (need == StatementNeed::EndAtMember) {
@@ -305,7 +308,7 @@
     const auto group = groups_.find(caller.group);
     const bool known = group != groups_.end();
     const auto link = links_.find(caller.link);
-    actions_.emplace_back(LogDecision{
+    LogDecision decision{
         LogLevel::Info,
         "statement",
         {{"id", caller.statement.id},
@@ -316,7 +319,11 @@
          {"took_ms", static_cast<std::int64_t>(wholeMilliseconds(now - caller.arrived).count())},
          {"configuration", static_cast<std::int64_t>(routes_.version())},
          {"generation", known ? static_cast<std::int64_t>(group->second.primary.generation) : 0},
-         {"view_left_ms", known ? static_cast<std::int64_t>(wholeMilliseconds(group->second.primary.validUntil - now).count()) : 0}}});
+         {"view_left_ms", known ? static_cast<std::int64_t>(wholeMilliseconds(group->second.primary.validUntil - now).count()) : 0}}};
+    if (!caller.transaction.empty()) {
+        decision.fields.emplace_back("transaction", caller.transaction);
+    }
+    actions_.emplace_back(std::move(decision));
 }
 
 } // namespace cardamomstep::relay
--- a/tests/cli/test_cli.cpp
+++ b/tests/cli/test_cli.cpp
@@ -392,16 +392,18 @@
 Test(cli, explainTellsWhatHappenedAndWhatWasBelieved)
 {
     const Folder folder;
-    const auto log =
-        folder.write("one.log",
-                     "time=2026-01-01T00:00:01.000Z level=info instance=one event=primary group=g member=old generation=1 held=0\n"
-                     "time=2026-01-01T00:00:02.000Z level=info instance=one event=primary group=g member=old generation=1 held=1\n"
-                     "time=2026-01-01T00:00:02.100Z level=info instance=two event=primary group=g member=new generation=2 held=0\n"
-                     "9.1 one time=2026-01-01T00:00:02.800Z level=info instance=one event=statement id=77 group=g outcome=no-primary\n"
-                     "damaged =line\n");
+    const auto log = folder.write(
+        "one.log",
+        "time=2026-01-01T00:00:01.000Z level=info instance=one event=primary group=g member=old generation=1 held=0\n"
+        "time=2026-01-01T00:00:02.000Z level=info instance=one event=primary group=g member=old generation=1 held=1\n"
+        "time=2026-01-01T00:00:02.100Z level=info instance=two event=primary group=g member=new generation=2 held=0\n"
+        "9.1 one time=2026-01-01T00:00:02.800Z level=info instance=one event=statement id=77 group=g outcome=no-primary\n"
+        "time=2026-01-01T00:00:03.000Z level=info instance=one event=statement id=80 transaction=79 group=g outcome=overloaded\n"
+        "damaged =line\n");
     const auto result = run({"explain", "--id", "77", log});
     cr_assert(result.code == 0, "%s", result.err.c_str());
     cr_assert(contains(result.out, "outcome=no-primary") && contains(result.out, "held=1"));
     cr_assert(!contains(result.out, "held=0"), "older beliefs and those of other processes explain nothing");
     cr_assert(run({"explain", "--id", "78", log}).code == 1);
+    cr_assert(contains(run({"explain", "--id", "79", log}).out, "outcome=overloaded"), "a transaction is found by the id that began it");
 }
--- a/tests/relay/relaydriver.h
+++ b/tests/relay/relaydriver.h
@@ -157,6 +157,7 @@
     std::vector<std::pair<LinkKey, MemberRequest>> requests;
     std::vector<std::string> members;
     std::vector<std::pair<CallerKey, CallerReply>> replies;
+    std::vector<LogDecision> decisions;
     std::vector<CallerKey> closedCallers;
     std::vector<LinkKey> closedLinks;
 
@@ -185,6 +186,8 @@
         } else if (const auto *link = std::get_if<CloseLink>(&action)) {
             closedLinks.push_back(link->link);
             std::erase_if(requests, [link](const auto &request) { return request.first == link->link; });
+        } else if (auto *decision = std::get_if<LogDecision>(&action)) {
+            decisions.push_back(std::move(*decision));
         }
     }
 
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -164,6 +164,29 @@
     cr_assert(driver.lastReply(1)->state == SessionState::Idle);
 }
 
+// Seen when the causes of unserved transactions were looked for: callers know a transaction by the id of its begin, and no line held it.
+Test(relay, theLinesOfATransactionNameTheIdThatBeganIt)
+{
+    RelayDriver driver;
+    driver.open(1);
+    driver.say(1, StatementKind::Begin);
+    driver.say(1, StatementKind::Write);
+    driver.answerNext();
+    driver.say(1, StatementKind::Commit);
+    driver.answerNext();
+    driver.say(1, StatementKind::Read);
+    driver.answerNext();
+    std::vector<std::string> transactions;
+    for (const auto &decision : driver.decisions) {
+        const auto found =
+            std::find_if(decision.fields.begin(), decision.fields.end(), [](const auto &field) { return field.key == "transaction"; });
+        if (decision.event == "statement") {
+            transactions.push_back(found == decision.fields.end() ? "" : found->value);
+        }
+    }
+    cr_assert(transactions == std::vector<std::string>({"id1", "id1", ""}));
+}
+
 Test(relay, aTransactionWhoseLinkBreaksIsToldAsRolledBack)
 {
     RelayDriver driver;
