--- a/src/cli/impl/follow.cpp
+++ b/src/cli/impl/follow.cpp
@@ -38,6 +38,40 @@
     writeTable(out, {"INSTANCE", "FAILURE DOMAIN", "STATE", "REVISION", "LAST HEARD"}, rows);
 }
 
+/// Writes what one session proxy believes.
+void writeSessionStatus(std::ostream &out, const Json &status)
+{
+    out << cell(status, "instance") << ": configuration " << cell(status, "configurationVersion") << ", lease of "
+        << (cell(status, "leaseHolder").empty() ? "(nobody)" : cell(status, "leaseHolder")) << ", view good for "
+        << cell(status, "viewLeftMs") << " ms, " << cell(status, "sessions") << " sessions\n";
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &group : status.value("groups", Json::array())) {
+        rows.push_back({cell(group, "group"),
+                        cell(group, "primary"),
+                        cell(group, "generation"),
+                        group.value("held", false) ? "moving" : (group.value("usable", false) ? "usable" : "unknown"),
+                        cell(group, "waiting"),
+                        cell(group, "connectionsLent") + "/" + cell(group, "connections")});
+    }
+    writeTable(out, {"GROUP", "PRIMARY", "GENERATION", "STATE", "WAITING", "CONNECTIONS LENT"}, rows);
+}
+
+/// Asks the session proxy at \a address, which tells what it believes on its metrics address without a token.
+Checked<Json> askSessionProxy(const Address &address)
+{
+    constexpr Milliseconds patience{5'000};
+    http::Connection connection(address);
+    const auto result = connection.exchange(http::Request{"GET", "/status", {}, {}, {}}, patience);
+    if (!result.response) {
+        return std::vector<Error>{Error{ErrorKind::EndpointUnreachable, address.text() + ": " + result.failure.description}};
+    }
+    auto status = Json::parse(result.response->body, nullptr, false);
+    if (result.response->status != 200 || !status.is_object()) {
+        return std::vector<Error>{Error{ErrorKind::EndpointUnreachable, address.text() + " is not the metrics address of a session proxy"}};
+    }
+    return status;
+}
+
 void writeHistory(std::ostream &out, const Json &entries)
 {
     for (const auto &entry : entries) {
@@ -133,6 +167,7 @@
     CommandLine line({"status", "Shows the live proxies and the configuration that each has in force.", "", "cardamomstep status -o json"});
     addClientOptions(line);
     line.add("o,output", "form of the output: table or json", "FORM", "table");
+    line.add("session", "ask the session proxy with this metrics address, instead", "ADDRESS");
     line.add("behind", "show only proxies that have not come up to this revision", "REVISION");
     if (const auto done = line.parse(argc, argv, {}, out, err)) {
         return *done;
@@ -141,6 +176,15 @@
     if (!behind || !isOutputForm(line.text("output"))) {
         return line.usageError(err, !behind ? behind.error().description : "--output: expected table or json");
     }
+    const bool asJson = line.text("output") == "json";
+    if (!line.text("session").empty()) {
+        const auto status = askSessionProxy(Address{line.text("session")});
+        if (!status) {
+            return reportFaults(err, "", status.faults());
+        }
+        asJson ? writeJson(out, *status) : writeSessionStatus(out, *status);
+        return toInt(ExitCode::Ok);
+    }
     auto options = readClientOptions(line);
     if (!options) {
         return reportFaults(err, "", options.faults());
@@ -155,11 +199,7 @@
     if (!status) {
         return reportFaults(err, "", status.faults());
     }
-    if (line.text("output") == "json") {
-        writeJson(out, *status);
-    } else {
-        writeStatus(out, *status);
-    }
+    asJson ? writeJson(out, *status) : writeStatus(out, *status);
     return toInt(ExitCode::Ok);
 }
 
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -87,6 +87,7 @@
     [[nodiscard]] LeadershipGauges gauges(TimePoint now) const
     {
         return {context_.lease.holds(now),
+                context_.lease.holder(),
                 wholeMilliseconds(context_.views.validUntil() - now),
                 static_cast<std::uint32_t>(registry_.all().size())};
     }
--- a/src/gateway/proxymetrics.h
+++ b/src/gateway/proxymetrics.h
@@ -14,6 +14,8 @@
 /// What the gauges show of the leadership.
 struct LeadershipGauges {
     bool holdsLease = false;
+    /// Empty while no holder is known.
+    InstanceName leaseHolder;
     /// Time for which the view of primaries is still good; negative when it has ended.
     Milliseconds viewLeft{0};
     std::uint32_t proxies = 0;
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -10,6 +10,7 @@
 #include "gateway/memberlink.h"
 #include "gateway/proxymetrics.h"
 #include "gateway/sessionplacement.h"
+#include "gateway/statuspage.h"
 #include "logging/boundedlog.h"
 #include "relay/engine.h"
 #include "settings/sessionsettings.h"
@@ -158,8 +159,12 @@
 
     Result<Success> serveMetrics()
     {
-        metricsServer_ = std::make_shared<evloop::HttpServer>(loop_, [this](const std::string &) {
-            return evloop::HttpPage{200, metrics_.page(engine_, leadership_.gauges(evloop::bootTimeNow()), log_.dropped())};
+        metricsServer_ = std::make_shared<evloop::HttpServer>(loop_, [this](const std::string &path) {
+            const auto now = evloop::bootTimeNow();
+            const auto gauges = leadership_.gauges(now);
+            return evloop::HttpPage{200,
+                                    path == "/status" ? statusPage(settings_.instance, engine_, gauges, now)
+                                                      : metrics_.page(engine_, gauges, log_.dropped())};
         });
         return metricsServer_->listen(settings_.listen.metrics);
     }
--- /dev/null
+++ b/src/gateway/statuspage.h
@@ -0,0 +1,47 @@
+// What a session proxy believes, as JSON for `cardamomstep status --session`.
+#pragma once
+
+#include "gateway/proxymetrics.h"
+#include "relay/engine.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace cardamomstep::gateway {
+
+/// One group as the proxy sees it.
+[[nodiscard]] inline nlohmann::json toJson(const relay::GroupStatus &group, TimePoint now)
+{
+    return {{"group", group.group.text()},
+            {"primary", group.primary.member.text()},
+            {"generation", group.primary.generation},
+            {"usable", group.primary.usable(now)},
+            {"held", group.primary.held},
+            {"viewLeftMs", wholeMilliseconds(group.primary.validUntil - now).count()},
+            {"waiting", group.waiting},
+            {"connections", group.links},
+            {"connectionsLent", group.lentLinks}};
+}
+
+/// The whole page.
+[[nodiscard]] inline std::string
+statusPage(const InstanceName &instance, const relay::Engine &engine, const LeadershipGauges &leadership, TimePoint now)
+{
+    auto groups = nlohmann::json::array();
+    for (const auto &group : engine.status()) {
+        groups.push_back(toJson(group, now));
+    }
+    const nlohmann::json page{{"instance", instance.text()},
+                              {"configurationVersion", engine.routes().version()},
+                              {"sessions", engine.callers()},
+                              {"draining", engine.draining()},
+                              {"holdsLease", leadership.holdsLease},
+                              {"leaseHolder", leadership.leaseHolder.text()},
+                              {"viewLeftMs", leadership.viewLeft.count()},
+                              {"proxies", leadership.proxies},
+                              {"groups", groups}};
+    return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+} // namespace cardamomstep::gateway
--- a/tests/cli/test_cli.cpp
+++ b/tests/cli/test_cli.cpp
@@ -254,6 +254,24 @@
     cr_assert(Json::parse(run({"status", "--behind", "1", "-o", "json"}).out)["proxies"].size() == 1);
 }
 
+Test(cli, statusOfASessionProxyIsReadFromItsMetricsAddress)
+{
+    const auto page =
+        R"({"instance":"one","configurationVersion":7,"leaseHolder":"two","viewLeftMs":512,"sessions":3,"groups":[)"
+        R"({"group":"g","primary":"p","generation":4,"usable":true,"held":false,"waiting":1,"connections":5,"connectionsLent":2}]})";
+    const auto server = http::Server::start({.listen = Address{"127.0.0.1:18320"}}, [page](const http::Request &request) {
+        return request.path == "/status" ? http::Response{200, {}, page} : http::Response{404, {}, ""};
+    });
+    cr_assert(bool(server));
+    const auto table = run({"status", "--session", "127.0.0.1:18320"});
+    cr_assert(table.code == 0 && contains(table.out, "lease of two") && contains(table.out, "usable") && contains(table.out, "2/5"),
+              "%s%s",
+              table.out.c_str(),
+              table.err.c_str());
+    cr_assert(Json::parse(run({"status", "--session", "127.0.0.1:18320", "-o", "json"}).out)["configurationVersion"] == 7);
+    cr_assert(run({"status", "--session", "127.0.0.1:18321"}).code == 4);
+}
+
 Test(cli, unreachableProxiesExitWithFour)
 {
     setenv("CARDAMOMSTEP_TOKEN", test::operatorToken.c_str(), 1);
