One way to read a settings file, one command line of the serving subcommands

The reading of text and file stood in settings/read.cpp and sessionsettings.cpp, the option handling in app/proxycommand.cpp and platform/sessionproxycommand.cpp.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -52,7 +52,7 @@
 add_library(platform STATIC ${platformSources})
 target_include_directories(platform PUBLIC ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/src)
 target_compile_options(platform PRIVATE -Wall -Wextra -Wpedantic -Wzero-as-null-pointer-constant -Wno-missing-field-initializers -Werror)
-target_link_libraries(platform PUBLIC evloop relay leadership fleet store logging metrics settings)
+target_link_libraries(platform PUBLIC cli evloop relay leadership fleet store logging metrics settings)
 cardamomstep_test(platform)
 
 cardamomstep_library(groups base)
--- a/src/app/proxycommand.cpp
+++ b/src/app/proxycommand.cpp
@@ -2,20 +2,19 @@
 #include "app/proxycommand.h"
 
 #include "app/proxy.h"
+#include "cli/exitcode.h"
+#include "cli/servercommand.h"
 #include "logging/log.h"
 #include "settings/read.h"
 
-#include <cxxopts.hpp>
-
 #include <csignal>
 
 namespace cardamomstep {
 
 namespace {
 
-constexpr int exitOk = 0;
-constexpr int exitFailed = 1;
-constexpr int exitUsage = 2;
+using cli::ExitCode;
+using cli::toInt;
 
 /// Blocks the stop signals in this and all later threads, so that one call can wait for them.
 sigset_t blockStopSignals()
@@ -35,11 +34,11 @@
     auto proxy = Proxy::start(settings);
     if (!proxy) {
         err << proxy.error() << "\n";
-        return exitFailed;
+        return toInt(ExitCode::Failed);
     }
     int received = 0;
     sigwait(&signals, &received);
-    return (*proxy)->drain() ? exitOk : exitFailed;
+    return (*proxy)->drain() ? toInt(ExitCode::Ok) : toInt(ExitCode::Failed);
 }
 
 int runWithSettings(const std::string &file, std::ostream &err)
@@ -49,12 +48,12 @@
         for (const auto &fault : settings.faults()) {
             err << fault << "\n";
         }
-        return exitUsage;
+        return toInt(ExitCode::Usage);
     }
     const auto logging = setUpLog(settings->log, settings->instance.text());
     if (!logging) {
         err << logging.error() << "\n";
-        return exitUsage;
+        return toInt(ExitCode::Usage);
     }
     return runUntilStopped(*settings, err);
 }
@@ -63,26 +62,9 @@
 
 int runProxyCommand(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
 {
-    cxxopts::Options options(
-        "cardamomstep proxy",
-        "Serves callers, operators and other proxies until SIGTERM.\n\nExample: cardamomstep proxy --settings proxy-1.json\n");
-    options.add_options()("settings", "settings file in JSON (docs/SETTINGS.md)", cxxopts::value<std::string>(), "FILE")("h,help",
-                                                                                                                         "show this help");
-    try {
-        const auto parsed = options.parse(argc, argv);
-        if (parsed.count("help") > 0) {
-            out << options.help();
-            return exitOk;
-        }
-        if (parsed.count("settings") == 0) {
-            err << "cardamomstep proxy: --settings FILE is required\n";
-            return exitUsage;
-        }
-        return runWithSettings(parsed["settings"].as<std::string>(), err);
-    } catch (const cxxopts::exceptions::exception &fault) {
-        err << "cardamomstep proxy: " << fault.what() << "\n";
-        return exitUsage;
-    }
+    const cli::ServerCommand command{
+        "proxy", "Serves callers, operators and other proxies until SIGTERM.", "docs/SETTINGS.md", runWithSettings};
+    return cli::runServerCommand(command, argc, argv, out, err);
 }
 
 } // namespace cardamomstep
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -2,14 +2,12 @@
 #include "settings/read.h"
 
 #include "http/address.h"
+#include "settings/impl/document.h"
 #include "settings/impl/fields.h"
-#include "json/document.h"
 #include "json/reader.h"
 
 #include <array>
 #include <cstdint>
-#include <fstream>
-#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -216,29 +214,12 @@
 
 Checked<Settings> readSettings(const std::string &fileName, std::string_view text)
 {
-    const auto document = json::parseDocument(fileName, text, ErrorKind::InvalidSettings);
-    if (!document) {
-        return std::vector<Error>{document.error()};
-    }
-    std::vector<json::Fault> faults;
-    auto settings = readAll(document->value, faults);
-    auto errors = json::faultErrors(*document, ErrorKind::InvalidSettings, faults);
-    if (!errors.empty()) {
-        return errors;
-    }
-    return settings;
+    return settings::impl::readDocument<Settings>(fileName, text, readAll);
 }
 
 Checked<Settings> readSettingsFile(const std::string &fileName)
 {
-    std::ifstream file(fileName, std::ios::binary);
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    if (!file) {
-        Error error{ErrorKind::InvalidSettings, "the file cannot be read"};
-        error.position = SourcePosition{fileName, 0, {}};
-        return std::vector<Error>{std::move(error)};
-    }
-    return readSettings(fileName, text);
+    return settings::impl::readFile<Settings>(fileName, readSettings);
 }
 
 } // namespace cardamomstep
--- a/src/settings/sessionsettings.cpp
+++ b/src/settings/sessionsettings.cpp
@@ -1,11 +1,8 @@
 // Reads the session proxy's settings.
 #include "settings/sessionsettings.h"
 
+#include "settings/impl/document.h"
 #include "settings/impl/fields.h"
-#include "json/document.h"
-
-#include <fstream>
-#include <iterator>
 
 namespace cardamomstep {
 
@@ -51,29 +48,12 @@
 
 Checked<SessionSettings> readSessionSettings(const std::string &fileName, std::string_view text)
 {
-    const auto document = json::parseDocument(fileName, text, ErrorKind::InvalidSettings);
-    if (!document) {
-        return std::vector<Error>{document.error()};
-    }
-    std::vector<json::Fault> faults;
-    auto settings = readAll(document->value, faults);
-    auto errors = json::faultErrors(*document, ErrorKind::InvalidSettings, faults);
-    if (!errors.empty()) {
-        return errors;
-    }
-    return settings;
+    return settings::impl::readDocument<SessionSettings>(fileName, text, readAll);
 }
 
 Checked<SessionSettings> readSessionSettingsFile(const std::string &fileName)
 {
-    std::ifstream file(fileName, std::ios::binary);
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    if (!file) {
-        Error error{ErrorKind::InvalidSettings, "the file cannot be read"};
-        error.position = SourcePosition{fileName, 0, {}};
-        return std::vector<Error>{std::move(error)};
-    }
-    return readSessionSettings(fileName, text);
+    return settings::impl::readFile<SessionSettings>(fileName, readSessionSettings);
 }
 
 } // namespace cardamomstep
