--- a/src/cli/impl/explain.cpp
+++ b/src/cli/impl/explain.cpp
@@ -30,7 +30,7 @@
     constexpr std::size_t mostLogs = 10'000;
     CommandLine line(
         {"explain", "Tells a request's story from the logs of all proxies.", "LOG...", "cardamomstep explain --id 5c0e7a21 *.log"});
-    line.add("id", "the id of the statement, or of the one that began its transaction", "ID");
+    line.add("id", "the id of the statement, of the one that began its transaction, or of the first that set the session up for it", "ID");
     if (const auto done = line.parse(argc, argv, {1, mostLogs}, out, err)) {
         return *done;
     }
--- a/src/cli/story.cpp
+++ b/src/cli/story.cpp
@@ -74,7 +74,7 @@
     std::string text;
     while (std::getline(log, text)) {
         auto line = parseLogLine(text);
-        if (tellsOf(line, "id") || tellsOf(line, "transaction")) {
+        if (tellsOf(line, "id") || tellsOf(line, "transaction") || tellsOf(line, "prelude")) {
             lines_.push_back(std::move(line));
         } else if (beliefEvents.contains(line.event)) {
             beliefs_.push_back(std::move(line));
--- a/src/cli/story.h
+++ b/src/cli/story.h
@@ -43,7 +43,7 @@
 private:
     [[nodiscard]] bool tellsOf(const LogLine &line, const std::string &field) const;
 
-    /// Of a statement, or of the one that began its transaction.
+    /// Of a statement, of the one that began its transaction, or of the first that set the session up for it.
     std::string id_;
     std::vector<LogLine> lines_;
     std::vector<LogLine> beliefs_;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -159,6 +159,10 @@
         SessionStatement statement;
         /// Id of the statement that began the transaction; empty outside of one.
         std::string transaction;
+        /// Id of the first statement that set the session up for this one; empty when none did.
+        std::string prelude;
+        /// The next statement outside of a transaction belongs to something else.
+        bool preludeOver = false;
         /// The route as of the statement, or of the first one of its transaction.
         Route route;
         TimePoint arrived;
@@ -207,6 +211,7 @@
     void dequeue(CallerKey key, Caller &caller);
     void answer(CallerKey key, Caller &caller, CallerReply reply, TimePoint now);
     void fail(CallerKey key, Caller &caller, Error error, TimePoint now);
+    static void noteOperation(Caller &caller);
     [[nodiscard]] bool refusedWhileStopping(const Caller &caller, TimePoint now) const;
     void restingDue(CallerKey key, Caller &caller, TimePoint now);
     void callerDue(CallerKey key, Caller &caller, TimePoint now);
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -2,6 +2,7 @@
 #include "relay/engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamomstep::relay {
 
@@ -12,6 +13,11 @@
     return reply.error ? std::string(answerRule(reply.error->kind).name) : "ok";
 }
 
+bool preparesSession(StatementKind kind)
+{
+    return kind == StatementKind::SetValue || kind == StatementKind::Prepare || kind == StatementKind::Deallocate;
+}
+
 } // namespace
 
 Result<Success> Engine::callerOpened(CallerKey key, const DatabaseName &database, TimePoint now)
@@ -59,9 +65,7 @@
         fail(key, caller, Error{ErrorKind::Draining, "this proxy is stopping"}.comingBackAfter(limits_.minRetryAfter), now);
         return;
     }
-    if (caller.session.phase() == TransactionPhase::None) {
-        caller.transaction = statement.kind == StatementKind::Begin ? statement.id : std::string();
-    }
+    noteOperation(caller);
     CallerReply reply;
     const auto need = caller.session.take(statement, reply);
     if (need == StatementNeed::EndAtMember) {
@@ -74,6 +78,23 @@
     admit(key, caller, now);
 }
 
+/// Keeps the ids by which the caller may know the statements that follow.
+void Engine::noteOperation(Caller &caller)
+{
+    if (caller.session.phase() != TransactionPhase::None) {
+        return;
+    }
+    const auto &statement = caller.statement;
+    if (std::exchange(caller.preludeOver, false)) {
+        caller.prelude.clear();
+    }
+    if (preparesSession(statement.kind) && caller.prelude.empty()) {
+        caller.prelude = statement.id;
+    }
+    caller.preludeOver = !preparesSession(statement.kind);
+    caller.transaction = statement.kind == StatementKind::Begin ? statement.id : std::string();
+}
+
 /// True for the begin of a transaction that would be cut by the end of this process.
 bool Engine::refusedWhileStopping(const Caller &caller, TimePoint now) const
 {
@@ -320,6 +341,9 @@
          {"configuration", static_cast<std::int64_t>(routes_.version())},
          {"generation", known ? static_cast<std::int64_t>(group->second.primary.generation) : 0},
          {"view_left_ms", known ? static_cast<std::int64_t>(wholeMilliseconds(group->second.primary.validUntil - now).count()) : 0}}};
+    if (!caller.prelude.empty()) {
+        decision.fields.emplace_back("prelude", caller.prelude);
+    }
     if (!caller.transaction.empty()) {
         decision.fields.emplace_back("transaction", caller.transaction);
     }
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -8,6 +8,17 @@
 using namespace cardamomstep;
 using namespace cardamomstep::relay;
 
+namespace {
+
+/// The value of a field of a log line; empty where it has none.
+std::string fieldOf(const LogDecision &decision, std::string_view key)
+{
+    const auto found = std::find_if(decision.fields.begin(), decision.fields.end(), [key](const auto &field) { return field.key == key; });
+    return found == decision.fields.end() ? "" : found->value;
+}
+
+} // namespace
+
 Test(relay, unknownDatabasesAreRefused)
 {
     RelayDriver driver;
@@ -178,15 +189,35 @@
     driver.answerNext();
     std::vector<std::string> transactions;
     for (const auto &decision : driver.decisions) {
-        const auto found =
-            std::find_if(decision.fields.begin(), decision.fields.end(), [](const auto &field) { return field.key == "transaction"; });
         if (decision.event == "statement") {
-            transactions.push_back(found == decision.fields.end() ? "" : found->value);
+            transactions.push_back(fieldOf(decision, "transaction"));
         }
     }
     cr_assert(transactions == std::vector<std::string>({"id1", "id1", ""}));
 }
 
+Test(relay, theLinesAfterSettingsOfASessionNameTheFirstOfThem)
+{
+    RelayDriver driver;
+    driver.open(1);
+    driver.say(1, StatementKind::SetValue, "zone", "utc");
+    driver.say(1, StatementKind::SetValue, "lang", "et");
+    driver.say(1, StatementKind::Begin);
+    driver.say(1, StatementKind::Write);
+    driver.answerNext();
+    driver.say(1, StatementKind::Commit);
+    driver.answerNext();
+    driver.say(1, StatementKind::Read);
+    driver.answerNext();
+    std::vector<std::string> preludes;
+    for (const auto &decision : driver.decisions) {
+        if (decision.event == "statement") {
+            preludes.push_back(fieldOf(decision, "prelude"));
+        }
+    }
+    cr_assert(preludes == std::vector<std::string>({"id1", "id1", ""}));
+}
+
 Test(relay, aTransactionWhoseLinkBreaksIsToldAsRolledBack)
 {
     RelayDriver driver;
