--- a/src/gateway/groupmoves.h
+++ b/src/gateway/groupmoves.h
@@ -97,6 +97,7 @@
         return std::any_of(
             members.begin(), members.end(), [&record](const auto &member) { return member.name != record.primary && !member.draining; });
     }
+
     void step(const GroupName &group, leadership::Promotion &move, TimePoint now)
     {
         for (auto &action : move.next(now)) {
--- a/src/gateway/leadercontext.h
+++ b/src/gateway/leadercontext.h
@@ -48,6 +48,7 @@
     WatchResumeOptions watch{Milliseconds{25'000}, BackoffOptions{Milliseconds{100}, Milliseconds{1000}}};
     Milliseconds watchSettle{150};
 };
+
 /// What the shell needs of its process.
 struct LeaderHost {
     relay::Engine &engine;
@@ -58,6 +59,7 @@
     /// The registered proxies changed.
     std::function<void()> proxiesChanged;
 };
+
 /// Shared by the parts of one process' leadership, which all run on one event loop; outlives them.
 template<typename Store>
 struct LeaderContext {
--- a/src/gateway/leasekeeper.h
+++ b/src/gateway/leasekeeper.h
@@ -59,6 +59,7 @@
             context_.store.replace(leadership::leaseKey(), write->expected, value, context_.limits.storeTimeout, done);
         }
     }
+
     /// Reads the stored lease, which few proxies need and only while no holder is heard of.
     void read(TimePoint now, bool everListed)
     {
@@ -88,6 +89,7 @@
             }
         });
     }
+
     /// Takes in the lease as the store holds it; nothing when it holds none.
     void observe(const std::optional<leadership::LeaseState> &lease, TimePoint now)
     {
@@ -130,6 +132,7 @@
                           "lease_yielded",
                           {{"fence", static_cast<std::int64_t>(yieldedFence_)}, {"store_answers", request.instance.text()}});
     }
+
     /// Gives the lease back. The entry in the store stays: an instance that stops most often starts again.
     void leave()
     {
@@ -144,6 +147,7 @@
         }
         context_.lease.resign();
     }
+
     /// True once the records were read after the lease was taken.
     [[nodiscard]] bool recordsCurrent() const noexcept
     {
--- a/src/gateway/membercontrols.h
+++ b/src/gateway/membercontrols.h
@@ -38,6 +38,7 @@
         request.text = term == 0 ? std::string() : std::to_string(term);
         control->ask(std::move(request), std::move(done));
     }
+
     /// Sends one request to the member named \a name; false when it is not known.
     bool ask(const MemberName &name, relay::MemberVerb verb, std::uint64_t term, typename Control::Handler done)
     {
@@ -77,6 +78,7 @@
             return gone;
         });
     }
+
     void closeAll()
     {
         for (auto &[member, control] : controls_) {
--- a/src/gateway/viewkeeper.h
+++ b/src/gateway/viewkeeper.h
@@ -81,6 +81,7 @@
         reply.liveProxies = registry_.live(now);
         return reply;
     }
+
     /// Takes in a record that the holder announces; \a answer is called once the announcement is heeded.
     void takeAnnouncement(const fleet::Announcement &announcement, const std::function<void(fleet::HoldReply)> &answer)
     {
@@ -106,6 +107,7 @@
         }
         answer(fleet::HoldReply{context_.host.engine.acknowledged(record.group), wholeMilliseconds(now - context_.startedAt)});
     }
+
     /// Forgets a proxy that is not registered any more.
     void forget(const InstanceName &proxy)
     {
@@ -154,6 +156,7 @@
         }
         return asked;
     }
+
     void takeRenewal(TimePoint askedAt, const Address &address, const Result<fleet::RenewReply> &reply)
     {
         const auto now = evloop::bootTimeNow();
@@ -182,6 +185,7 @@
             askStore(now);
         }
     }
+
     void askStore(TimePoint now)
     {
         storeRenewing_ = true;
@@ -194,6 +198,7 @@
             takeStoredView(*listing, now);
         });
     }
+
     /// Takes the view that the store held at \a askedAt; only a registered proxy is waited for by moves, so only it may use one.
     void takeStoredView(const StoreListing &listing, TimePoint askedAt)
     {
