One name and one copy for the statements that set a session up

The engine asked anew what callersession.cpp knew as isLocal(): now setsUpSession() in callersession.h. A stale comment in callerlink.h is mended.

--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -91,7 +91,7 @@
     }
 
 private:
-    /// Longest time to reach another proxy, and to hear from it while a statement is under way.
+    /// Longest time to reach another proxy.
     static constexpr Milliseconds forwardConnect{300};
     /// Time for an answer to come back from the proxy that serves a session, beyond the statement's own timeout.
     static constexpr Milliseconds forwardMargin{150};
--- a/src/relay/callersession.cpp
+++ b/src/relay/callersession.cpp
@@ -10,13 +10,13 @@
 /// Values and prepared names that one session may keep.
 constexpr std::size_t maxSessionEntries = 1024;
 
-bool isLocal(StatementKind kind)
+} // namespace
+
+bool setsUpSession(StatementKind kind) noexcept
 {
     return kind == StatementKind::SetValue || kind == StatementKind::Prepare || kind == StatementKind::Deallocate;
 }
 
-} // namespace
-
 std::string memberName(const PreparedShape &shape)
 {
     return (shape.access == Access::Write ? "w_" : "r_") + shape.shape;
@@ -39,7 +39,7 @@
 
 StatementNeed CallerSession::takeOutside(const SessionStatement &statement, CallerReply &reply)
 {
-    if (isLocal(statement.kind)) {
+    if (setsUpSession(statement.kind)) {
         return takeLocal(statement, reply);
     }
     switch (statement.kind) {
@@ -70,7 +70,7 @@
 StatementNeed CallerSession::takeInside(const SessionStatement &statement, CallerReply &reply)
 {
     const bool open = phase_ == TransactionPhase::Open;
-    if (isLocal(statement.kind)) {
+    if (setsUpSession(statement.kind)) {
         return takeLocal(statement, reply);
     }
     switch (statement.kind) {
--- a/src/relay/callersession.h
+++ b/src/relay/callersession.h
@@ -24,6 +24,9 @@
 /// The name under which \a shape is prepared at members; the same for all sessions, so that they share it.
 [[nodiscard]] std::string memberName(const PreparedShape &shape);
 
+/// True for statements that only change what the session keeps; no member runs them.
+[[nodiscard]] bool setsUpSession(StatementKind kind) noexcept;
+
 /// How far a transaction has come.
 enum class TransactionPhase : std::uint8_t {
     None,
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -13,11 +13,6 @@
     return reply.error ? std::string(answerRule(reply.error->kind).name) : "ok";
 }
 
-bool preparesSession(StatementKind kind)
-{
-    return kind == StatementKind::SetValue || kind == StatementKind::Prepare || kind == StatementKind::Deallocate;
-}
-
 } // namespace
 
 Result<Success> Engine::callerOpened(CallerKey key, const DatabaseName &database, TimePoint now)
@@ -88,10 +83,10 @@
     if (std::exchange(caller.preludeOver, false)) {
         caller.prelude.clear();
     }
-    if (preparesSession(statement.kind) && caller.prelude.empty()) {
+    if (setsUpSession(statement.kind) && caller.prelude.empty()) {
         caller.prelude = statement.id;
     }
-    caller.preludeOver = !preparesSession(statement.kind);
+    caller.preludeOver = !setsUpSession(statement.kind);
     caller.transaction = statement.kind == StatementKind::Begin ? statement.id : std::string();
 }
 
