Proxies tell each other how new their catalogs are; most of them watch the store with long waits

Ruled out: reads that may be old (they may miss the deadline of a configuration); fewer watchers (a proxy cut from the others would hear nothing). Change: requests and replies for views carry the revisions of the newest configuration and members' entry that a proxy knows or was told of (CatalogMarks). The holder and the proxies that read the store for others keep the short waits; the rest wait 25 s while they hear from others. A removal that a long watch brings is trusted after the grace of an outage only. The number of live proxies, which nobody read, leaves the messages.

--- a/src/evloop/httpclient.cpp
+++ b/src/evloop/httpclient.cpp
@@ -61,6 +61,7 @@
     }
     busy_ = true;
     const auto exchange = std::make_shared<Exchange>(loop_);
+    current_ = exchange;
     exchange->pending = std::move(queue_.front());
     queue_.pop_front();
     const auto &call = exchange->pending.call;
@@ -100,6 +101,13 @@
     });
 }
 
+void HttpClient::abandon()
+{
+    if (const auto exchange = current_.lock(); exchange && busy_) {
+        finish(exchange, Error{ErrorKind::StoreOutcomeUnknown, "given up for a newer call"}, false);
+    }
+}
+
 void HttpClient::write(const std::shared_ptr<Exchange> &exchange)
 {
     const auto self = shared_from_this();
--- a/src/evloop/httpclient.h
+++ b/src/evloop/httpclient.h
@@ -50,6 +50,9 @@
     /// Makes \a call; \a done is called once, within about \a timeout of the start of the call.
     void call(HttpCall call, Milliseconds timeout, Handler done);
 
+    /// Ends the call under way, if any, as one whose answer was lost.
+    void abandon();
+
     /// Calls that wait or are under way.
     [[nodiscard]] std::size_t pending() const noexcept
     {
@@ -73,6 +76,7 @@
     std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
     std::deque<Pending> queue_;
     bool busy_ = false;
+    std::weak_ptr<Exchange> current_;
 };
 
 } // namespace cardamomstep::evloop
--- a/src/fleet/impl/fleetcodec.cpp
+++ b/src/fleet/impl/fleetcodec.cpp
@@ -36,6 +36,17 @@
     return record;
 }
 
+void fill(wire::CatalogMarks &message, const CatalogMarks &marks)
+{
+    message.set_configuration(marks.configuration.value);
+    message.set_members(marks.members.value);
+}
+
+CatalogMarks marksOf(const wire::CatalogMarks &message)
+{
+    return {Revision{message.configuration()}, Revision{message.members()}};
+}
+
 } // namespace
 
 wire::RenewRequest encode(const RenewRequest &request)
@@ -46,6 +57,7 @@
     for (const auto &client : request.clients) {
         message.add_clients(client.text());
     }
+    fill(*message.mutable_marks(), request.marks);
     for (const auto &sighting : request.sightings) {
         auto &entry = *message.add_sightings();
         entry.set_group(sighting.group.text());
@@ -67,6 +79,7 @@
     for (const auto &client : message.clients()) {
         request.clients.emplace_back(client);
     }
+    request.marks = marksOf(message.marks());
     for (const auto &entry : message.sightings()) {
         leadership::PrimarySighting sighting;
         sighting.group = GroupName{entry.group()};
@@ -91,7 +104,7 @@
     message.set_renewals(reply.lease.renewals);
     message.set_lease_left_ms(reply.lease.left.count());
     message.set_holder_since_store_ms(reply.holderSinceStore ? reply.holderSinceStore->count() : -1);
-    message.set_live_proxies(reply.liveProxies);
+    fill(*message.mutable_marks(), reply.marks);
     message.set_yielded_fence(reply.yieldedFence);
     for (const auto &record : reply.records) {
         fill(*message.add_records(), record);
@@ -111,7 +124,7 @@
     if (message.holder_since_store_ms() >= 0) {
         reply.holderSinceStore = Milliseconds{message.holder_since_store_ms()};
     }
-    reply.liveProxies = message.live_proxies();
+    reply.marks = marksOf(message.marks());
     reply.yieldedFence = message.yielded_fence();
     for (const auto &record : message.records()) {
         reply.records.push_back(recordOf(record));
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -3,6 +3,7 @@
 
 #include "leadership/lease.h"
 #include "leadership/record.h"
+#include "store/catalogmarks.h"
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,8 @@
     std::optional<Milliseconds> sinceStore;
     /// Proxies that renew their views at the sender.
     std::vector<InstanceName> clients;
+    /// How new a catalog the sender knows or was told of.
+    CatalogMarks marks;
 };
 
 /// A view of the primaries, and the lease as far as the sender knows it.
@@ -29,7 +32,8 @@
     leadership::LeaseWord lease;
     /// Time since the store last answered the holder, where the holder itself replies.
     std::optional<Milliseconds> holderSinceStore;
-    std::uint32_t liveProxies = 0;
+    /// How new a catalog the sender knows or was told of.
+    CatalogMarks marks;
     /// Fencing token of a lease that the sender held and gives up by this word; 0 for none.
     std::uint64_t yieldedFence = 0;
 };
--- a/src/gateway/catalogfollower.h
+++ b/src/gateway/catalogfollower.h
@@ -8,6 +8,7 @@
 #include "relay/directory.h"
 #include "relay/routebook.h"
 #include "settings/sessionsettings.h"
+#include "store/catalogmarks.h"
 
 #include <boost/asio.hpp>
 
@@ -28,6 +29,10 @@
     Milliseconds configurationWait{2000};
     /// Longest wait of one watch for members. Watches may miss changes until the next call.
     Milliseconds memberWait{4000};
+    /// Longest wait of both while other processes tell how new their catalogs are.
+    Milliseconds guardedWait{25'000};
+    /// Without word from others for this long, this process is on its own again.
+    Milliseconds guardedFor{1500};
     /// Pause after news from the store.
     Milliseconds watchSettle{250};
     BackoffOptions watchBackoff{Milliseconds{60}, Milliseconds{800}};
@@ -64,6 +69,44 @@
         followMembers();
     }
 
+    /// How new a catalog is known here or was told of.
+    [[nodiscard]] CatalogMarks marks() const
+    {
+        CatalogMarks marks{configuration_->newest(), members_->newest()};
+        marks.raise(told_);
+        return marks;
+    }
+
+    /// Takes in how new a catalog another process knows; a watch that missed that is made anew.
+    void heardOf(const CatalogMarks &marks)
+    {
+        const auto now = evloop::bootTimeNow();
+        told_.raise(marks);
+        heardAt_ = now;
+        if (configuration_->heardOf(told_.configuration, now)) {
+            watchMissed("configuration", told_.configuration);
+        }
+        if (members_->heardOf(told_.members, now)) {
+            watchMissed("members", told_.members);
+        }
+    }
+
+    /// Does what is due: drops members whose removal is trusted by now, and chooses how long watches wait. Waits are long where others
+    /// would tell of missed news; some processes watch \a often for all.
+    void tick(bool often)
+    {
+        if (directory_.expire(evloop::bootTimeNow())) {
+            handlers_.membersChanged();
+        }
+        const bool guarded = !often && heardAt_ != TimePoint{} && evloop::bootTimeNow() - heardAt_ < limits_.guardedFor;
+        if (guarded == guarded_) {
+            return;
+        }
+        guarded_ = guarded;
+        configuration_->setWait(guarded ? limits_.guardedWait : configurationWait());
+        members_->setWait(guarded ? limits_.guardedWait : limits_.memberWait);
+    }
+
     /// True once the members were listed.
     [[nodiscard]] bool membersKnown() const noexcept
     {
@@ -71,6 +114,17 @@
     }
 
 private:
+    [[nodiscard]] Milliseconds configurationWait() const noexcept
+    {
+        return std::min(limits_.configurationWait, settings_.configurationDeadline * 2 / 3);
+    }
+
+    void watchMissed(std::string_view dependency, Revision newest)
+    {
+        handlers_.log(
+            LogLevel::Warning, "watch_missed_news", {{"dependency", dependency}, {"newest", static_cast<std::int64_t>(newest.value)}});
+    }
+
     WatchResumeOptions watchOptions(Milliseconds wait) const
     {
         return {wait, limits_.watchBackoff};
@@ -88,14 +142,13 @@
         handlers.failed = [this](const Error &error) {
             storeFailed("configuration", error);
         };
-        configuration_ =
-            std::make_shared<Follower<Store>>(loop_,
-                                              Store(loop_, settings_.store),
-                                              ObjectKind{Store::configurationKind},
-                                              watchOptions(std::min(limits_.configurationWait, settings_.configurationDeadline * 2 / 3)),
-                                              limits_.watchSettle,
-                                              stableHash(settings_.instance.text()),
-                                              std::move(handlers));
+        configuration_ = std::make_shared<Follower<Store>>(loop_,
+                                                           Store(loop_, settings_.store),
+                                                           ObjectKind{Store::configurationKind},
+                                                           watchOptions(configurationWait()),
+                                                           limits_.watchSettle,
+                                                           stableHash(settings_.instance.text()),
+                                                           std::move(handlers));
         configuration_->step();
     }
 
@@ -139,7 +192,7 @@
                 takeMember(object);
             }
             storeAnswered("members");
-            if (!changes.changes.empty() || directory_.expire(evloop::bootTimeNow())) {
+            if (!changes.changes.empty()) {
                 handlers_.membersChanged();
             }
         };
@@ -162,6 +215,10 @@
         const MemberName name{object.name.text()};
         const auto entry = object.deleted ? std::nullopt : Store::decodeMember(object);
         if (object.deleted) {
+            if (guarded_) {
+                // A long watch does not show an outage, in which the entries of living members lapse.
+                directory_.storeFailed(evloop::bootTimeNow());
+            }
             directory_.remove(name, evloop::bootTimeNow());
         } else if (entry) {
             const auto *before = directory_.find(name);
@@ -203,6 +260,11 @@
     relay::MemberDirectory &directory_;
     CatalogHandlers handlers_;
     bool membersKnown_ = false;
+    /// How new a catalog others told of, and when they last told.
+    CatalogMarks told_;
+    TimePoint heardAt_;
+    /// Others would tell of news that this process' watches missed.
+    bool guarded_ = false;
     std::shared_ptr<Follower<Store>> configuration_;
     std::shared_ptr<Follower<Store>> members_;
     std::unordered_map<std::string, bool> lostDependencies_;
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -2,16 +2,19 @@
 #pragma once
 
 #include "evloop/clock.h"
+#include "store/missednews.h"
 #include "store/watchresume.h"
 
 #include <utility>
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace cardamomstep::gateway {
 
@@ -23,7 +26,7 @@
     std::function<void(const Error &error)> failed;
 };
 
-/// Follows one kind; \a Store offers list() and watch().
+/// Follows one kind; \a Store offers list(), watch() and abandon().
 template<typename Store>
 class Follower : public std::enable_shared_from_this<Follower<Store>>
 {
@@ -42,6 +45,7 @@
         , resume_(options, seed)
         , settle_(settle)
         , handlers_(std::move(handlers))
+        , wait_(options.wait)
     {
     }
 
@@ -57,12 +61,36 @@
         if (std::holds_alternative<ListAll>(next)) {
             store_.list(kind_, listTimeout, [self](const Result<StoreListing> &listing) { self->onListing(listing); });
         } else if (const auto *watch = std::get_if<WatchAfter>(&next)) {
+            watching_ = true;
             store_.watch(kind_, watch->after, watch->wait, [self](const Result<StoreChanges> &changes) { self->onChanges(changes); });
         } else {
             stepAfter(std::get<PauseUntil>(next).time - now);
         }
     }
 
+    /// Revision of the newest change that was seen.
+    [[nodiscard]] Revision newest() const noexcept
+    {
+        return newest_;
+    }
+
+    /// Sets the longest wait of watches; a watch under way that would wait longer is made anew.
+    void setWait(Milliseconds wait)
+    {
+        const bool shorter = wait < wait_;
+        wait_ = wait;
+        resume_.setWait(wait);
+        if (shorter) {
+            watchAnew();
+        }
+    }
+
+    /// Takes in that another process knows a change at \a newest; true when the watch was made anew because it missed that.
+    bool heardOf(Revision newest, TimePoint now)
+    {
+        return missed_.told(newest, complete_, now) && watchAnew();
+    }
+
     void stop()
     {
         stopped_ = true;
@@ -71,6 +99,18 @@
 
 private:
     static constexpr Milliseconds listTimeout{1000};
+    /// A change that another process knows of arrives here within this time, or the watch is silent.
+    static constexpr Milliseconds newsGrace{500};
+
+    bool watchAnew()
+    {
+        if (!watching_) {
+            return false;
+        }
+        replaced_ = true;
+        store_.abandon();
+        return true;
+    }
 
     void stepAfter(Microseconds wait)
     {
@@ -92,6 +132,7 @@
         // A listing starts over: nothing that was known before bounds its revision but what was taken over.
         if (resume_.onListing(*listing, complete_, now) == StoreAnswer::Current) {
             complete_ = listing->revision;
+            note(listing->objects);
             handlers_.listed(*listing);
         }
         step();
@@ -100,12 +141,18 @@
     void onChanges(const Result<StoreChanges> &changes)
     {
         const auto now = evloop::bootTimeNow();
+        watching_ = false;
+        if (std::exchange(replaced_, false) && !changes) {
+            step();
+            return;
+        }
         if (!changes) {
             fail(changes.error(), now);
             return;
         }
         if (resume_.onChanges(*changes, complete_, now) == StoreAnswer::Current) {
             complete_ = changes->revision;
+            note(changes->changes);
             handlers_.changed(*changes);
         }
         if (changes->changes.empty()) {
@@ -115,6 +162,13 @@
         }
     }
 
+    void note(const std::vector<StoredObject> &objects)
+    {
+        for (const auto &object : objects) {
+            newest_ = std::max(newest_, object.version);
+        }
+    }
+
     void fail(const Error &error, TimePoint now)
     {
         resume_.onFailure(now);
@@ -130,6 +184,13 @@
     FollowerHandlers handlers_;
     /// All changes up to here are known.
     Revision complete_;
+    Revision newest_;
+    MissedNews missed_{newsGrace};
+    Milliseconds wait_;
+    /// A watch is under way.
+    bool watching_ = false;
+    /// It was given up to be made anew.
+    bool replaced_ = false;
     bool stopped_ = false;
 };
 
--- a/src/gateway/leadercontext.h
+++ b/src/gateway/leadercontext.h
@@ -58,6 +58,10 @@
     std::function<void()> perform;
     /// The registered proxies changed.
     std::function<void()> proxiesChanged;
+    /// How new a catalog this process knows or was told of.
+    std::function<CatalogMarks()> marks;
+    /// Another process told how new a catalog it knows.
+    std::function<void(const CatalogMarks &marks)> marksHeard;
 };
 
 /// Shared by the parts of one process' leadership, which all run on one event loop; outlives them.
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -83,6 +83,12 @@
         return now < context_.views.validUntil() + Milliseconds{500};
     }
 
+    /// True when this proxy follows the store closely so that others need not.
+    [[nodiscard]] bool readsStoreForOthers() const
+    {
+        return context_.lease.holds(evloop::bootTimeNow()) || context_.tree.readsStore(context_.settings.instance);
+    }
+
     /// What the metrics page shows.
     [[nodiscard]] LeadershipGauges gauges(TimePoint now) const
     {
--- a/src/gateway/proxyregistry.h
+++ b/src/gateway/proxyregistry.h
@@ -7,7 +7,6 @@
 #include "leadership/recordjson.h"
 #include "membership/rendezvous.h"
 
-#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -144,14 +143,6 @@
         attendance_.restart(now);
     }
 
-    /// Proxies that were heard of lately, this one included.
-    [[nodiscard]] std::uint32_t live(TimePoint now) const
-    {
-        return static_cast<std::uint32_t>(std::count_if(proxies_.begin(), proxies_.end(), [this, now](const auto &proxy) {
-            return proxy.first == context_.settings.instance || attendance_.lives(proxy.first, now);
-        }));
-    }
-
     /// Removes proxies from the store that are gone for good.
     void removeDead(TimePoint now)
     {
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -139,7 +139,13 @@
         const auto proxiesChanged = [this] {
             placement_.setProxies(leadership_.sessionTargets());
         };
-        return LeaderHost{engine_, directory_, write, perform, proxiesChanged};
+        const auto marks = [this] {
+            return catalog_.marks();
+        };
+        const auto marksHeard = [this](const CatalogMarks &heard) {
+            catalog_.heardOf(heard);
+        };
+        return LeaderHost{engine_, directory_, write, perform, proxiesChanged, marks, marksHeard};
     }
 
     void log(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
@@ -397,6 +403,7 @@
             }
             wakeAt_.reset();
             engine_.wake(evloop::bootTimeNow());
+            catalog_.tick(leadership_.readsStoreForOthers());
             perform();
             checkStopped();
         });
--- a/src/gateway/viewkeeper.h
+++ b/src/gateway/viewkeeper.h
@@ -59,13 +59,14 @@
         reply.lease = context_.lease.word(now);
         reply.yieldedFence = lease_.yieldedFence();
         clients_[request.instance] = now;
+        context_.host.marksHeard(request.marks);
+        reply.marks = context_.host.marks();
         handlers_.sighted(request, now);
         if (!context_.lease.holds(now)) {
             // A view is passed on with its age, so it ends for the asker when it ends here.
             // Moves wait for the views of registered proxies only.
             reply.granted = now - context_.views.asOf() < leadership::viewLease * 3 / 4 && registry_.find(request.instance) != nullptr;
             reply.age = std::chrono::ceil<Milliseconds>(now - context_.views.asOf());
-            reply.liveProxies = liveProxies_;
             reply.records = context_.views.current();
             return reply;
         }
@@ -78,7 +79,6 @@
             registry_.heard(client, now);
         }
         reply.records = context_.views.all();
-        reply.liveProxies = registry_.live(now);
         return reply;
     }
 
@@ -146,6 +146,7 @@
         if (context_.storeAnsweredAt != TimePoint{}) {
             asked.sinceStore = wholeMilliseconds(now - context_.storeAnsweredAt);
         }
+        asked.marks = context_.host.marks();
         for (const auto &[instance, heardAt] : clients_) {
             if (now - heardAt <= clientLife) {
                 asked.clients.push_back(instance);
@@ -169,6 +170,7 @@
             return;
         }
         renewFailures_.erase(address);
+        context_.host.marksHeard(reply->marks);
         lease_.heard(*reply, now);
         if (!reply->granted) {
             ++renewAttempt_;
@@ -176,9 +178,6 @@
         }
         renewAttempt_ = 0;
         context_.views.renew(reply->records, askedAt - reply->age);
-        if (reply->liveProxies > 0) {
-            liveProxies_ = reply->liveProxies;
-        }
         context_.viewsChanged(now);
         // A holder that the store does not answer yields to one that it does; so this process finds out whether it does.
         if (reply->holderSinceStore && *reply->holderSinceStore >= context_.limits.storeSilence && !storeRenewing_) {
@@ -232,8 +231,6 @@
     std::size_t renewAttempt_ = 0;
     /// Proxies that renew their views here, and when they last did.
     std::map<InstanceName, TimePoint> clients_;
-    /// Live proxies as last told.
-    std::uint32_t liveProxies_ = 0;
     bool storeRenewing_ = false;
     TimePoint storeRenewedAt_;
 };
--- a/src/leadership/attendance.h
+++ b/src/leadership/attendance.h
@@ -1,4 +1,4 @@
-// When each proxy of the fleet was last heard of, as the lease holder judges who lives and who is gone.
+// When each proxy of the fleet was last heard of, as the lease holder judges who is gone.
 #pragma once
 
 #include "base/ids.h"
@@ -10,8 +10,6 @@
 
 /// Settings of an attendance.
 struct AttendanceLimits {
-    /// A proxy that was not heard of for this long holds no connections.
-    Milliseconds life{3000};
     /// A proxy that was not heard of for this long is gone for good.
     Milliseconds removal{20'000};
 };
@@ -50,12 +48,6 @@
         }
     }
 
-    [[nodiscard]] bool lives(const InstanceName &instance, TimePoint now) const
-    {
-        const auto found = heard_.find(instance);
-        return found != heard_.end() && now - found->second <= limits_.life;
-    }
-
     [[nodiscard]] bool gone(const InstanceName &instance, TimePoint now) const
     {
         const auto found = heard_.find(instance);
--- a/src/store/watchresume.h
+++ b/src/store/watchresume.h
@@ -69,6 +69,12 @@
     /// Counts a call without a usable answer.
     void onFailure(TimePoint now);
 
+    /// Sets the longest wait of the watches from now on.
+    void setWait(Milliseconds wait) noexcept
+    {
+        options_.wait = wait;
+    }
+
     /// Failures and stale answers in a row.
     [[nodiscard]] unsigned failures() const noexcept
     {
