Sessions are not ended between their set-up and the statement that follows

A stopping proxy ended each session at rest, also right after a SET or PREPARE was answered; the statement it was for crossed the end. Sessions that are sent on to another proxy were ended the same way. Ruled out: the time before the platform's entry stops sending callers (the listener stays open), statements lost at members (none logged). Change: a session that was just set up stays for its statement, 0.4 s at most, in the engine, in sessions sent on and in forwarded ones. Four tests; on the code before, the first of them ends the session.

--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -60,7 +60,8 @@
         std::string text;
         Wire::appendReply(text, reply);
         connection_->send(text);
-        const auto target = reply.state == relay::SessionState::Idle && handlers_.forward ? handlers_.forward(database_) : std::nullopt;
+        const bool rests = reply.state == relay::SessionState::Idle && !setUp_;
+        const auto target = rests && handlers_.forward ? handlers_.forward(database_) : std::nullopt;
         if (target) {
             handlers_.endedForTarget(target->proxy);
             finish();
@@ -84,10 +85,15 @@
     }
 
     /// Ends a forwarded session as soon as it rests; true when it rests now.
-    [[nodiscard]] bool endWhenResting() noexcept
+    [[nodiscard]] bool endWhenResting()
     {
         ending_ = true;
-        return !outstanding_ && state_ == relay::SessionState::Idle;
+        const bool resting = !outstanding_ && state_ == relay::SessionState::Idle;
+        if (resting && setUp_) {
+            endSoon();
+            return false;
+        }
+        return resting;
     }
 
 private:
@@ -95,6 +101,8 @@
     static constexpr Milliseconds forwardConnect{300};
     /// Time for an answer to come back from the proxy that serves a session, beyond the statement's own timeout.
     static constexpr Milliseconds forwardMargin{150};
+    /// Time for the statement that a session was just set up for, before the session ends.
+    static constexpr Milliseconds setUpRest{400};
 
     void take(std::string_view line)
     {
@@ -107,6 +115,7 @@
             open(*start, std::string(line));
         } else if (const auto *statement = std::get_if<relay::SessionStatement>(&message); statement != nullptr && started_) {
             connection_->pause();
+            setUp_ = relay::setsUpSession(statement->kind);
             if (handlers_.statement) {
                 handlers_.statement(*statement);
             }
@@ -174,6 +183,7 @@
         }
         connection_->pause();
         const auto *statement = std::get_if<relay::SessionStatement>(&message);
+        setUp_ = statement != nullptr && relay::setsUpSession(statement->kind);
         session_->sent(statement == nullptr ? relay::SessionStatement{} : *statement);
         sendUpstream(line);
     }
@@ -211,13 +221,27 @@
         outstanding_ = false;
         state_ = ready->state;
         silence_.cancel();
-        if (ending_ && state_ == relay::SessionState::Idle) {
+        if (ending_ && state_ == relay::SessionState::Idle && !setUp_) {
             finish();
             return;
         }
+        if (ending_ && state_ == relay::SessionState::Idle) {
+            endSoon();
+        }
         connection_->resume();
     }
 
+    /// Ends the session unless the statement that it was set up for comes in time.
+    void endSoon()
+    {
+        silence_.expires_after(setUpRest);
+        silence_.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error && !self->outstanding_) {
+                self->finish();
+            }
+        });
+    }
+
     /// Serves a session that the other proxy did not take.
     void serveHere()
     {
@@ -330,6 +354,8 @@
     /// A forwarded line is not answered yet.
     bool outstanding_ = false;
     relay::SessionState state_ = relay::SessionState::Idle;
+    /// The last statement only set the session up: the one that it is for follows.
+    bool setUp_ = false;
     bool ending_ = false;
 };
 
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -142,7 +142,7 @@
     drainUntil_ = transactionsUntil;
     for (auto &[key, caller] : callers_) {
         if (caller.activity == Activity::Resting && caller.session.phase() == TransactionPhase::None) {
-            actions_.emplace_back(CloseCaller{key});
+            endAtRest(key, caller, now);
         } else if (caller.activity == Activity::Resting) {
             setTimer(key, caller, std::min(caller.wakeAt.value_or(transactionsUntil), transactionsUntil));
         }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -48,7 +48,8 @@
     Milliseconds transactionPatience{400};
     /// Answer times, smoothed, after which an answer counts as late.
     double lateFactor = 6.0;
-    /// How long a session that was opened while stopping may rest before its first statement.
+    /// How long a session may rest while stopping before a statement that is expected at once: the first one, or the one that the
+    /// session was just set up for.
     Milliseconds stoppingRest{400};
     /// A transaction that could not end in this time is not begun while stopping.
     Milliseconds stoppingTransaction{1000};
@@ -163,6 +164,13 @@
         std::string prelude;
         /// The next statement outside of a transaction belongs to something else.
         bool preludeOver = false;
+
+        /// True when the session was just set up for a statement that has not come yet.
+        [[nodiscard]] bool beginsOperation() const noexcept
+        {
+            return !prelude.empty() && !preludeOver;
+        }
+
         /// The route as of the statement, or of the first one of its transaction.
         Route route;
         TimePoint arrived;
@@ -213,6 +221,7 @@
     void fail(CallerKey key, Caller &caller, Error error, TimePoint now);
     static void noteOperation(Caller &caller);
     [[nodiscard]] bool refusedWhileStopping(const Caller &caller, TimePoint now) const;
+    void endAtRest(CallerKey key, Caller &caller, TimePoint now);
     void restingDue(CallerKey key, Caller &caller, TimePoint now);
     void callerDue(CallerKey key, Caller &caller, TimePoint now);
     [[nodiscard]] bool worthAsking(Caller &caller, TimePoint now);
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -165,8 +165,18 @@
     }
     setTimer(key, caller, std::nullopt);
     if (drainUntil_) {
-        actions_.emplace_back(CloseCaller{key});
+        endAtRest(key, caller, now);
+    }
+}
+
+/// Ends a resting session while this process stops; one whose next statement is on its way ends after that.
+void Engine::endAtRest(CallerKey key, Caller &caller, TimePoint now)
+{
+    if (caller.beginsOperation()) {
+        setTimer(key, caller, now + limits_.stoppingRest);
+        return;
     }
+    actions_.emplace_back(CloseCaller{key});
 }
 
 /// Answers the statement under way with \a error.
--- a/tests/platform/test_callerlink.cpp
+++ b/tests/platform/test_callerlink.cpp
@@ -183,3 +183,39 @@
     forwarding.link->reply(reply);
     cr_assert(forwarding.sentOn == 1);
 }
+
+// Seen on convenio-cantabrico trouble-3: sessions were sent on right after their set-up, and the statement that followed was cut.
+Test(platform, aSessionThatWasJustSetUpStaysForItsStatement)
+{
+    Forwarding forwarding;
+    forwarding.reachable = false;
+    asio::write(forwarding.caller, asio::buffer(std::string("START db who\r\n")));
+    forwarding.turn();
+    (void)Forwarding::readLine(forwarding.caller);
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY s1 SET zone 1\r\n")));
+    forwarding.turn();
+    forwarding.reachable = true;
+    const relay::CallerReply reply;
+    forwarding.link->reply(reply);
+    cr_assert(forwarding.sentOn == 0, "its statement is on its way");
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY r1 READ a\r\n")));
+    forwarding.turn();
+    cr_assert(forwarding.runHere == (std::vector<std::string>{"s1", "r1"}));
+    forwarding.link->reply(reply);
+    cr_assert(forwarding.sentOn == 1);
+}
+
+Test(platform, aStopEndsNoForwardedSessionBetweenItsSetUpAndItsStatement)
+{
+    Forwarding forwarding;
+    forwarding.open();
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY s1 SET zone 1\r\n")));
+    forwarding.turn();
+    (void)Forwarding::readLine(forwarding.upstream);
+    asio::write(forwarding.upstream, asio::buffer(std::string("COMPLETE -\r\nREADY I -\r\n")));
+    forwarding.turn();
+    cr_assert(!forwarding.link->endWhenResting(), "its statement is on its way");
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY r1 READ a\r\n")));
+    forwarding.turn();
+    cr_assert(Forwarding::readLine(forwarding.upstream) == "QUERY r1 READ a\r\n");
+}
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -305,6 +305,36 @@
     cr_assert(driver.closedCallers == (std::vector<CallerKey>{1, 2}));
 }
 
+// Seen on convenio-cantabrico trouble-3: sessions ended between a set-up and its statement, which crossed the end and was cut.
+Test(relay, stoppingEndsNoSessionBetweenItsSetUpAndTheStatementThatFollows)
+{
+    RelayDriver driver;
+    driver.open(1);
+    driver.open(2);
+    driver.say(1, StatementKind::SetValue, "zone", "1");
+    driver.engine.drain(driver.now + Milliseconds{3000}, driver.now);
+    driver.settle();
+    cr_assert(driver.closedCallers == std::vector<CallerKey>{2});
+    driver.say(1, StatementKind::Prepare, "s1", "shape");
+    cr_assert(driver.closedCallers == std::vector<CallerKey>{2}, "set up further, not at rest");
+    driver.say(1, StatementKind::Execute, "s1", "7");
+    driver.answerNext();
+    cr_assert(!driver.lastReply(1)->error);
+    cr_assert(driver.closedCallers == (std::vector<CallerKey>{2, 1}));
+}
+
+Test(relay, stoppingEndsASessionWhoseStatementDoesNotFollowItsSetUp)
+{
+    RelayDriver driver;
+    driver.open(1);
+    driver.say(1, StatementKind::SetValue, "zone", "1");
+    driver.engine.drain(driver.now + Milliseconds{3000}, driver.now);
+    driver.advance(300);
+    cr_assert(driver.closedCallers.empty());
+    driver.advance(200);
+    cr_assert(driver.closedCallers == std::vector<CallerKey>{1});
+}
+
 // Seen on kpv-swapdesk trouble-2: a session that came during the stop rested, began at its end and was cut.
 Test(relay, stoppingTakesNoTransactionThatItWouldCut)
 {
