What a proxy acknowledged outlives its process; no move before lapsed members are back

A move trusts the proxies' word on what was acknowledged once each has run for 6 s, but a process knows nothing of what its predecessor acknowledged, and a replica may receive nothing for longer than that. And a holder that starts within an outage of the store may lack members whose entries lapsed, and so choose without them. Change: proxies pass on the highest acknowledged position that they were told, with the sightings that they send anyway, and a move takes it in; a proxy begins no move in its first 2.5 s. Test promotion::whatAProxyAcknowledgedBeforeItsRestartIsWaitedFor, failed without it.

--- a/src/gateway/groupmoves.h
+++ b/src/gateway/groupmoves.h
@@ -65,6 +65,7 @@
                            {"generation", static_cast<std::int64_t>(record.generation)},
                            {"fence", static_cast<std::int64_t>(context_.lease.fence())}});
         auto &move = moves_.emplace(record.group, leadership::Promotion(record, *reason, now)).first->second;
+        move.known(views_.acknowledged(record.group));
         move.setMembers(context_.host.directory.membersOf(record.group));
     }
 
--- a/src/gateway/leadercontext.h
+++ b/src/gateway/leadercontext.h
@@ -43,6 +43,8 @@
     /// Each primary is asked at least this often whether it leads.
     Milliseconds probeInterval{1000};
     Milliseconds controlPatience{400};
+    /// A process that started more recently may lack members whose entries lapsed in an outage of the store.
+    Milliseconds membersSettle{2500};
     /// A tick that comes this late means that this process stood still.
     Milliseconds standstill{500};
     WatchResumeOptions watch{Milliseconds{25'000}, BackoffOptions{Milliseconds{100}, Milliseconds{1000}}};
--- a/src/gateway/leadershell.h
+++ b/src/gateway/leadershell.h
@@ -296,7 +296,8 @@
         views.renew(views.all(), std::min(now, lease.validUntil() - leadership::viewLease));
         viewsChanged(now);
         // Views that an earlier holder granted have ended by then.
-        const bool mayMove = now - std::max(lease.takenAt(), registry_.removedAt()) >= leadership::viewLease;
+        const bool viewsEnded = now - std::max(lease.takenAt(), registry_.removedAt()) >= leadership::viewLease;
+        const bool mayMove = viewsEnded && now - context_.startedAt >= context_.limits.membersSettle;
         for (const auto &[group, config] : context_.host.engine.routes().groups()) {
             const auto *record = views.find(group);
             if (record == nullptr) {
--- a/src/gateway/viewkeeper.h
+++ b/src/gateway/viewkeeper.h
@@ -9,6 +9,7 @@
 #include "gateway/sighting.h"
 #include "leadership/recordjson.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,6 +60,10 @@
         reply.lease = context_.lease.word(now);
         reply.yieldedFence = lease_.yieldedFence();
         clients_[request.instance] = now;
+        for (const auto &sighting : request.sightings) {
+            auto &told = acknowledged_[sighting.group];
+            told = std::max(told, sighting.acknowledged);
+        }
         context_.host.marksHeard(request.marks);
         reply.marks = context_.host.marks();
         handlers_.sighted(request, now);
@@ -108,6 +113,14 @@
         answer(fleet::HoldReply{context_.host.engine.acknowledged(record.group), wholeMilliseconds(now - context_.startedAt)});
     }
 
+    /// Highest position in \a group that this process acknowledged, or that others told here that they did.
+    [[nodiscard]] Mark acknowledged(const GroupName &group) const
+    {
+        const auto told = acknowledged_.find(group);
+        const auto own = context_.host.engine.acknowledged(group);
+        return told == acknowledged_.end() ? own : std::max(own, told->second);
+    }
+
     /// Forgets a proxy that is not registered any more.
     void forget(const InstanceName &proxy)
     {
@@ -154,6 +167,7 @@
         }
         for (const auto &record : context_.views.all()) {
             asked.sightings.push_back(sightingOf(context_.host.engine, record, now));
+            asked.sightings.back().acknowledged = acknowledged(record.group);
         }
         return asked;
     }
@@ -231,6 +245,8 @@
     std::size_t renewAttempt_ = 0;
     /// Proxies that renew their views here, and when they last did.
     std::map<InstanceName, TimePoint> clients_;
+    /// What others told here that they acknowledged to callers.
+    std::map<GroupName, Mark> acknowledged_;
     bool storeRenewing_ = false;
     TimePoint storeRenewedAt_;
 };
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -18,6 +18,11 @@
     record_.moving = true;
 }
 
+void Promotion::known(const Mark &acknowledged)
+{
+    acknowledged_ = std::max(acknowledged_, acknowledged);
+}
+
 void Promotion::setMembers(const std::vector<relay::MemberEntry> &members)
 {
     members_.clear();
@@ -55,7 +60,7 @@
 void Promotion::held(const InstanceName &proxy, const Mark &acknowledged, Milliseconds uptime, TimePoint now)
 {
     held_[proxy] = uptime >= limits_.knowingUptime;
-    acknowledged_ = std::max(acknowledged_, acknowledged);
+    known(acknowledged);
     if (proxiesSettled(now)) {
         gatherSooner(now);
     }
--- a/src/leadership/promotion.h
+++ b/src/leadership/promotion.h
@@ -80,6 +80,9 @@
 public:
     Promotion(GroupRecord record, MoveReason reason, TimePoint now, const PromotionLimits &limits = {});
 
+    /// Takes in a position that some proxy was heard to have acknowledged, also by a process that has ended since.
+    void known(const Mark &acknowledged);
+
     /// Sets the group's registered members, now and whenever they change.
     void setMembers(const std::vector<relay::MemberEntry> &members);
 
--- a/src/leadership/record.h
+++ b/src/leadership/record.h
@@ -38,7 +38,7 @@
     std::optional<Milliseconds> sinceAnswer;
     /// Time since which writes have gone unanswered.
     Milliseconds writesStalled{0};
-    /// Highest position that this proxy acknowledged to a caller.
+    /// Highest position that this proxy acknowledged to a caller, or was told that others did.
     Mark acknowledged;
 };
 
--- a/tests/leadership/test_promotion.cpp
+++ b/tests/leadership/test_promotion.cpp
@@ -76,6 +76,28 @@
     cr_assert(promotes.front().member.text() == "r1");
 }
 
+// A proxy acknowledged number 22 and was killed; the process that came after it knows nothing of that, and only r2, which cannot be
+// reached now, holds it.
+Test(promotion, whatAProxyAcknowledgedBeforeItsRestartIsWaitedFor)
+{
+    auto move = begun(MoveReason::Silent, three);
+    move.known(Mark{Term{1, 0}, 22});
+    (void)move.next(at(5));
+    move.proxiesListed({InstanceName{"one"}}, at(9));
+    move.memberStatus(status("r1", 20));
+    (void)move.next(at(130));
+    move.held(InstanceName{"one"}, Mark{Term{1, 0}, 20}, Seconds{7}, at(140));
+    move.memberPaused(status("r1", 20), 2);
+    for (std::int64_t time = 150; time < 20'000; time += 100) {
+        cr_assert(only<PromoteMember>(move.next(at(time))).empty(), "at %ld ms", time);
+    }
+    move.memberStatus(status("r2", 22));
+    (void)move.next(at(20'130));
+    move.memberPaused(status("r2", 22), 2);
+    const auto promotes = only<PromoteMember>(move.next(at(20'140)));
+    cr_assert(promotes.size() == 1 && promotes.front().member.text() == "r2");
+}
+
 Test(promotion, lateAnswersOfProxiesOrderNothingTwice)
 {
     auto move = begun(MoveReason::Silent, three);
