--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -5,7 +5,9 @@
 #include "app/membershipservice.h"
 #include "app/operatorenvironment.h"
 #include "app/ownership.h"
+#include "app/peersightings.h"
 #include "app/periodic.h"
+#include "app/planwatch.h"
 #include "app/statuswriter.h"
 #include "app/taskpool.h"
 #include "entry/callerapi.h"
@@ -18,9 +20,7 @@
 #include "peer/server.h"
 #include "store/storeclient.h"
 
-#include <algorithm>
 #include <atomic>
-#include <map>
 #include <random>
 #include <utility>
 
@@ -30,7 +30,6 @@
 
 constexpr std::size_t backgroundThreads = 4;
 constexpr unsigned operatorThreads = 16;
-constexpr Milliseconds peerTimeout{200};
 constexpr Milliseconds drainPoll{10};
 /// A leaving proxy serves on until no statement has come for this long.
 constexpr Milliseconds quietTime{1'000};
@@ -80,13 +79,6 @@
     [[nodiscard]] entry::Dispatcher::Sources dispatcherSources();
 
     void addTask(TaskPool::Task task);
-    void askPeers(const GroupName &group);
-    void tellPeers(const GroupName &group, std::optional<Milliseconds> hold);
-    [[nodiscard]] peer::Sighting sighted(const peer::Sighting &seen);
-    [[nodiscard]] peer::Sighting sightingOf(const GroupOwner &owner, const GroupName &group);
-    void watchPlan(const DuePlan &plan);
-    void moveLeavingPrimaries();
-    [[nodiscard]] bool isQuiet(const DuePlan &plan, const GroupOwner &owner);
     [[nodiscard]] entry::FleetView view() const;
     [[nodiscard]] bool isReady() const;
     void onFleetChanged();
@@ -117,6 +109,8 @@
     FleetEnvironment environment;
     RecordWriter records;
     StatusWriter status;
+    PeerSightings sightings;
+    PlanWatch plans;
     operators::OperatorApi<RecordWriter, FleetEnvironment> operatorApi;
     entry::Dispatcher dispatcher;
     entry::CallerApi callers;
@@ -129,7 +123,6 @@
     std::unique_ptr<Periodic> maintenance;
     // Used by the maintenance thread only.
     std::uint64_t maintenanceRound = 0;
-    std::map<RecordName, std::pair<std::uint64_t, PlanProgress>> planProgressTold;
 };
 
 Proxy::Impl::Impl(const Settings &given)
@@ -145,6 +138,8 @@
     , environment(self.name, configuration, membership)
     , records(store, configuration, seed)
     , status(store, self.name, seed)
+    , sightings(self.name, ownership, configuration, transactions, peers, [this](TaskPool::Task task) { addTask(std::move(task)); })
+    , plans(ownership, transactions, sightings, status)
     , operatorApi(records, environment, {.token = given.operators.token})
     , dispatcher(self, dispatcherSources(), peers, transactions)
     , callers(callerServices(), {.tokenBytes = given.limits.tokenBytes, .maxWindow = given.limits.maxWindow}, given.limits.inFlight)
@@ -232,10 +227,10 @@
                  {{"group", group.text()}, {"member", note.member.text()}, {"term", toText(note.term)}, {"reason", toText(note.reason)}});
     };
     events.askPeers = [this](const GroupName &group) {
-        addTask([this, group] { askPeers(group); });
+        addTask([this, group] { sightings.tell(group, std::nullopt); });
     };
     events.holdPeers = [this](const GroupName &group, Milliseconds span) {
-        addTask([this, group, span] { tellPeers(group, span); });
+        addTask([this, group, span] { sightings.tell(group, span); });
     };
     return events;
 }
@@ -261,7 +256,7 @@
         return configuration.onRequest(message);
     };
     handlers.sight = [this](const peer::Sighting &seen) {
-        return sighted(seen);
+        return sightings.sighted(seen);
     };
     return handlers;
 }
@@ -326,118 +321,6 @@
               {"tookUs", static_cast<std::int64_t>(took.count())}});
 }
 
-// Other owners of a group
-
-void Proxy::Impl::askPeers(const GroupName &group)
-{
-    tellPeers(group, std::nullopt);
-}
-
-void Proxy::Impl::tellPeers(const GroupName &group, std::optional<Milliseconds> hold)
-{
-    const auto owner = ownership.find(group);
-    if (!owner) {
-        return;
-    }
-    for (const auto &other : ownership.otherOwners(group)) {
-        addTask([this, owner, group, other, hold] {
-            auto told = sightingOf(*owner, group);
-            told.hold = hold;
-            const auto result = peers.sight(other.address, told, peerTimeout);
-            const auto *seen = std::get_if<peer::Sighting>(&result);
-            if (seen != nullptr && !seen->from.empty()) {
-                owner->onPeerSighting(seen->from, seen->seen);
-            }
-        });
-    }
-}
-
-peer::Sighting Proxy::Impl::sighted(const peer::Sighting &seen)
-{
-    const auto owner = ownership.find(seen.group);
-    if (!owner) {
-        return {};
-    }
-    if (seen.hold) {
-        owner->hold(*seen.hold);
-    }
-    owner->onPeerSighting(seen.from, seen.seen);
-    return sightingOf(*owner, seen.group);
-}
-
-peer::Sighting Proxy::Impl::sightingOf(const GroupOwner &owner, const GroupName &group)
-{
-    peer::Sighting sighting;
-    sighting.from = self.name;
-    sighting.group = group;
-    sighting.seen = owner.sighting();
-    sighting.busy = owner.busyMembers();
-    sighting.revision = configuration.revision();
-    sighting.transactions = static_cast<std::uint32_t>(transactions.countOf(group));
-    return sighting;
-}
-
-// Stop plans
-
-void Proxy::Impl::moveLeavingPrimaries()
-{
-    for (const auto &group : ownership.firstOwned()) {
-        const auto owner = ownership.find(group);
-        if (!owner || !owner->leavingPrimary() || transactions.countOf(group) > 0) {
-            continue;
-        }
-        const auto others = ownership.otherOwners(group);
-        const bool free = std::none_of(others.begin(), others.end(), [&](const auto &other) {
-            const auto result = peers.sight(other.address, sightingOf(*owner, group), peerTimeout);
-            const auto *seen = std::get_if<peer::Sighting>(&result);
-            return seen != nullptr && seen->transactions > 0;
-        });
-        if (free) {
-            owner->moveLeavingPrimary();
-        }
-    }
-}
-
-void Proxy::Impl::watchPlan(const DuePlan &plan)
-{
-    const auto owner = ownership.find(plan.group);
-    if (!owner) {
-        return;
-    }
-    const auto primary = owner->snapshot().primary;
-    PlanSight sight;
-    sight.due = plan.due;
-    sight.leads = primary && primary->member == plan.member;
-    sight.quiet = plan.due && !sight.leads && isQuiet(plan, *owner);
-    const auto progress = planProgress(sight);
-    const auto known = planProgressTold.find(plan.plan);
-    const bool told = known != planProgressTold.end() && known->second == std::pair{plan.version, progress};
-    if (!told) {
-        planProgressTold[plan.plan] = {plan.version, progress};
-        status.onPlan(plan.plan, progress, planDetail(sight));
-        logEvent(LogLevel::Info, "plan-progress", {{"plan", plan.plan.text()}, {"detail", planDetail(sight)}});
-    }
-}
-
-bool Proxy::Impl::isQuiet(const DuePlan &plan, const GroupOwner &owner)
-{
-    const auto isBusy = [&plan](const std::vector<MemberName> &busy) {
-        return std::find(busy.begin(), busy.end(), plan.member) != busy.end();
-    };
-    if (isBusy(owner.busyMembers())) {
-        return false;
-    }
-    for (const auto &other : ownership.otherOwners(plan.group)) {
-        const auto result = peers.sight(other.address, sightingOf(owner, plan.group), peerTimeout);
-        const auto *seen = std::get_if<peer::Sighting>(&result);
-        const bool agrees = seen != nullptr && seen->revision.value >= plan.version && !isBusy(seen->busy);
-        if (!agrees) {
-            return false;
-        }
-    }
-    return true;
-}
-
 // The fleet
 
 void Proxy::Impl::addTask(TaskPool::Task task)
@@ -517,10 +400,7 @@
             beginLeaving();
         }
         ownership.refresh();
-        moveLeavingPrimaries();
-        for (const auto &plan : ownership.plansToWatch()) {
-            watchPlan(plan);
-        }
+        plans.look();
     }
     return maintenancePeriod;
 }
--- a/src/owner/transactions.cpp
+++ b/src/owner/transactions.cpp
@@ -90,7 +90,7 @@
     return found == pinned_.end() ? std::nullopt : std::optional<GroupName>(found->second.transaction.group);
 }
 
-std::size_t Transactions::countOf(const GroupName &group)
+std::size_t Transactions::countOf(const GroupName &group) const
 {
     const std::lock_guard lock(mutex_);
     const auto isOfGroup = [&group](const auto &item) {
--- a/src/owner/transactions.h
+++ b/src/owner/transactions.h
@@ -48,7 +48,7 @@
     [[nodiscard]] std::optional<GroupName> groupOf(const TransactionId &id);
 
     /// Open transactions of \a group.
-    [[nodiscard]] std::size_t countOf(const GroupName &group);
+    [[nodiscard]] std::size_t countOf(const GroupName &group) const;
 
     [[nodiscard]] std::size_t size();
 
@@ -60,7 +60,7 @@
 
     [[nodiscard]] std::optional<Use> unpin(const CloseTransaction &ended);
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     TransactionRegistry registry_;
     /// Process-wide names of pinned connections; pools of different members reuse theirs.
     ConnectionKey nextPin_ = 1;
