An added or replaced machine does not change who holds connections

With fewer than two connections for each the fleet went over to a few holders of connections; sessions were sent on, some of them to the machine that was gone (forward_failed, 300 ms each). Change: all proxies hold their own connections from three for two proxies on (two for each before), so that nine still do with 14. The case stands in relay/fewConnectionsAreHeldByFewProxiesOfEachDomain and failed before.

--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -9,7 +9,7 @@
 {
     const auto proxies = static_cast<std::uint32_t>(live.instances().size());
     const auto domains = static_cast<std::uint32_t>(live.domains().size());
-    if (domains == 0 || memberConnections >= proxies * limits.enoughForAll) {
+    if (domains == 0 || memberConnections * 2 >= proxies * limits.enoughForTwo) {
         return {0, std::max<std::uint32_t>(1, proxies)};
     }
     const auto perDomain = std::max<std::uint32_t>(1, memberConnections / (domains * limits.goodPool));
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -14,8 +14,8 @@
 struct PlacementLimits {
     /// Connections to one member that make a pool worth having: with fewer, one transaction blocks its neighbours.
     std::uint32_t goodPool = 5;
-    /// With at least this many connections for each proxy, all hold their own: passing sessions on costs more than it evens out.
-    std::uint32_t enoughForAll = 2;
+    /// With at least this many connections for two proxies, all hold their own: passing sessions on costs more than it evens out.
+    std::uint32_t enoughForTwo = 3;
 };
 
 /// Who holds connections to one group's members.
--- a/tests/relay/test_units.cpp
+++ b/tests/relay/test_units.cpp
@@ -83,6 +83,7 @@
     cr_assert(holders.perDomain == 0 && holders.sharers == 6);
     cr_assert(!forwardTo(fleet, holders, GroupName{"g"}, fleet.instances().front(), 1));
     cr_assert(holdersFor(fleetOf(7, 3), 14).perDomain == 0, "two for each are enough (convenio-cantabrico)");
+    cr_assert(holdersFor(fleetOf(9, 3), 14).perDomain == 0, "a machine that is added, and one that is replaced, change nothing");
 }
 
 // convenio-cantabrico-grown: 62 proxies, 40 connections a member. Pools of one let a resting transaction block all of its proxy.
