--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,10 +3,9 @@
 import asyncio
 import itertools
 
+from platform_standins import CallerSession, Refused, SessionLost, statements
 from promises import Sent
 
-CONNECT_PATIENCE_S = 2.0
-ANSWER_PATIENCE_S = 12.0
 ITEMS = 60
 # A statement sent this shortly before the end of its session may not have been read.
 LOSS_SLACK_S = 0.2
@@ -15,26 +14,14 @@
 class Route:
     """What callers know of one database name."""
 
-    def __init__(self, host, group, kind, staleness_s, timeout_s):
+    def __init__(self, host, group, sees_own_writes, staleness_s, timeout_s):
         self.host = host
         self.group = group
-        self.kind = kind
+        self.sees_own_writes = sees_own_writes
         self.staleness_s = staleness_s
         self.timeout_s = timeout_s
 
 
-class SessionLost(Exception):
-    """The connection ended, or its answer did not come."""
-
-
-class Refused(Exception):
-    """A statement was answered with an error."""
-
-    def __init__(self, code):
-        super().__init__(code)
-        self.code = code
-
-
 class Session:
     """One open session at a proxy."""
 
@@ -42,66 +29,36 @@
         self.caller = caller
         self.proxy = proxy
         self.route = route
-        self.state = "I"
+        self.wire = CallerSession()
         self.values = {}
         self.prepared = {}
         self.own_commit = None
         self.transaction = None
         self.fresh_from = 0.0
         self.writes = []
-        self.reader = None
-        self.writer = None
 
     async def open(self):
-        connecting = asyncio.open_connection("127.0.0.1", self.proxy.port("callers"))
-        try:
-            self.reader, self.writer = await asyncio.wait_for(connecting, CONNECT_PATIENCE_S)
-            self.writer.write(f"START {self.route.host} {self.caller.name}\r\n".encode())
-            line = (await asyncio.wait_for(self.reader.readline(), CONNECT_PATIENCE_S)).decode()
-        except (OSError, asyncio.TimeoutError) as fault:
-            raise SessionLost("not opened") from fault
-        if not line.startswith("READY"):
-            raise Refused(line.split(" ")[1] if line.startswith("ERROR") else "closed")
+        await self.wire.open(self.proxy.port("callers"), self.route.host, self.caller.name)
 
     def close(self):
-        if self.writer is not None:
-            self.writer.close()
+        self.wire.close()
 
     async def ask(self, text, identifier=None):
         """Sends one statement; returns (rows, signature) or raises."""
         identifier = identifier or self.caller.next_id()
         asked_at = self.caller.clock()
-        self.writer.write(f"QUERY {identifier} {text}\r\n".encode())
-        rows, signature, code = [], None, None
         try:
-            while True:
-                line = (await asyncio.wait_for(self.reader.readline(), ANSWER_PATIENCE_S)).decode().rstrip("\r\n")
-                word, _, rest = line.partition(" ")
-                if word == "ROW":
-                    rows.append(rest)
-                elif word == "COMPLETE":
-                    signature = rest
-                elif word == "ERROR":
-                    code = rest.split(" ")[0]
-                elif word == "READY":
-                    self.state = rest.split(" ")[0]
-                    break
-                else:
-                    self.caller.cut(self, identifier, asked_at)
-                    raise SessionLost("ended in an answer")
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as fault:
+            return await self.wire.ask(identifier, text)
+        except SessionLost:
             self.caller.cut(self, identifier, asked_at)
-            raise SessionLost("no answer") from fault
-        if code is not None:
-            raise Refused(code)
-        return rows, signature
+            raise
 
     # Statements that members run
 
     def note(self, identifier, text):
         now = self.caller.clock()
         fresh_from = self.fresh_from if self.transaction else now
-        own = self.own_commit if self.route.kind == "read_your_writes" else None
+        own = self.own_commit if self.route.sees_own_writes else None
         sent = Sent(self.caller.name, text, self.route, now, fresh_from, self.transaction, dict(self.values), dict(self.prepared), own)
         self.caller.promises.send(identifier, sent)
 
@@ -116,7 +73,7 @@
             known = [each for each in ids if each in self.caller.promises.sent]
             self.caller.promises.refused(known, refusal.code)
             raise
-        if signature != "-":
+        if signature is not None:
             self.caller.promises.answered(self.route.group, identifier, rows, signature)
         return identifier
 
@@ -186,9 +143,9 @@
             elif draw < 0.45:
                 await self._transaction(session)
             elif draw < 0.62:
-                session.committed([await session.run(f"WRITE i{self._item()} {self._data()}")])
+                session.committed([await session.run(statements.write(self._item(), self._data()))])
             else:
-                await session.run(f"READ i{self._item()}")
+                await session.run(statements.read(self._item()))
             self.served.append(self.clock())
         except Refused:
             self.failed.append(self.clock())
@@ -198,27 +155,27 @@
     async def _recover(self, session):
         """Brings the session back out of a failed transaction."""
         session.transaction, session.writes = None, []
-        if session.state != "I":
-            await session.ask("ROLLBACK")
+        if not session.wire.rests():
+            await session.ask(statements.ROLLBACK)
 
     async def _set(self, session):
         name, value = self.random.choice(("tz", "who")), self._data()
-        await session.ask(f"SET {name} {value}")
+        await session.ask(statements.set_value(name, value))
         session.values[name] = value
 
     async def _prepared(self, session):
-        access = self.random.choice(("READ", "WRITE"))
+        access = self.random.choice((statements.READ, statements.WRITE))
         name = self.random.choice(("s1", "s2"))
         if name in session.prepared:
-            await session.ask(f"DEALLOC {name}")
+            await session.ask(statements.deallocate(name))
             del session.prepared[name]
         shape = f"q{self.random.randrange(4)}"
-        await session.ask(f"PREPARE {name} {access} {shape}")
+        await session.ask(statements.prepare(name, access, shape))
         session.prepared[name] = (access, shape)
-        if access == "READ":
-            await session.run(f"EXECUTE {name} i{self._item()}")
+        if access == statements.READ:
+            await session.run(statements.execute(name, self._item()))
         else:
-            session.committed([await session.run(f"EXECUTE {name} i{self._item()} {self._data()}")])
+            session.committed([await session.run(statements.execute(name, self._item(), self._data()))])
 
     async def _transaction(self, session):
         reads_only = self.random.random() < 0.4
@@ -226,29 +183,29 @@
         session.fresh_from = self.clock()
         session.writes = []
         first = True
-        await session.ask("BEGIN READ" if reads_only else "BEGIN")
+        await session.ask(statements.begin(reads_only))
         for _ in range(self.random.randrange(1, 6)):
             if first:
                 session.fresh_from, first = self.clock(), False
             if not reads_only and self.random.random() < 0.5:
-                session.writes.append(await session.run(f"WRITE i{self._item()} {self._data()}"))
+                session.writes.append(await session.run(statements.write(self._item(), self._data())))
             else:
-                await session.run(f"READ i{self._item()}")
+                await session.run(statements.read(self._item()))
             await asyncio.sleep(self.random.choice((0.0, 0.0, 0.03, 0.2)))
         ending = self.random.random()
         if ending < 0.06:
             raise SessionLost("leaves in the middle")
         if ending < 0.15:
-            await session.ask("ROLLBACK")
-            self.promises.refused(session.writes, "ABORTED")
+            await session.ask(statements.ROLLBACK)
+            self.promises.refused(session.writes, statements.ROLLED_BACK)
         else:
-            await session.run("COMMIT")
+            await session.run(statements.COMMIT)
             if session.writes:
                 session.committed(session.writes)
         session.transaction, session.writes = None, []
 
     def _item(self):
-        return f"{self.random.randrange(ITEMS):x}"
+        return f"i{self.random.randrange(ITEMS):x}"
 
     def _data(self):
         return f"{self.random.getrandbits(40):x}"
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,9 +2,9 @@
 
 import collections
 
-RECENT_STATEMENTS = 200_000
+from platform_standins import statements
 
-PROMISES_NOTHING_KEPT = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"})
+RECENT_STATEMENTS = 200_000
 
 
 class Sent:
@@ -80,7 +80,7 @@
         self.counts[code] += 1
         for identifier in identifiers:
             self.sent[identifier].told = code
-            if code in PROMISES_NOTHING_KEPT and self.commits_of.get(identifier):
+            if code in statements.NOTHING_KEPT and self.commits_of.get(identifier):
                 self.breach("false refusal", f"{identifier} was committed and its caller told {code}")
 
     # What members see.
@@ -94,16 +94,17 @@
         sent.runs.append((signature, tuple(rows)))
         self._check_text(sent, identifier, text, connection)
         self._check_session(sent, identifier, connection)
-        if access == "READ":
+        if access == statements.READ:
             self._check_fresh(sent, identifier, member)
 
     def _check_text(self, sent, identifier, text, connection):
-        if sent.text.startswith("EXECUTE "):
-            _, name, arguments = sent.text.split(" ", 2)
-            _, renamed, same = text.split(" ", 2)
-            if connection.prepared.get(renamed) != sent.prepared.get(name) or arguments != same:
-                self.breach("another statement", f"{identifier}: {sent.text} ran as {text}")
-        elif sent.text != text:
+        asked, ran = statements.prepared_call(sent.text), statements.prepared_call(text)
+        if asked and ran:
+            # The name may differ, what it stands for may not.
+            same = connection.prepared.get(ran[0]) == sent.prepared.get(asked[0]) and asked[1] == ran[1]
+        else:
+            same = sent.text == text
+        if not same:
             self.breach("another statement", f"{identifier}: {sent.text} ran as {text}")
 
     def _check_session(self, sent, identifier, connection):
@@ -138,7 +139,7 @@
             if len(commits) > 1:
                 self.breach("written twice", identifier)
             sent = self.sent.get(identifier)
-            if sent is not None and sent.told in PROMISES_NOTHING_KEPT:
+            if sent is not None and sent.told in statements.NOTHING_KEPT:
                 self.breach("false refusal", f"{identifier} was committed after its caller was told {sent.told}")
 
     def ordered(self, holder, token):
