--- a/src/evloop/httpclient.cpp
+++ b/src/evloop/httpclient.cpp
@@ -40,9 +40,10 @@
     bool finished = false;
 };
 
-HttpClient::HttpClient(asio::io_context &loop, Address server)
+HttpClient::HttpClient(asio::io_context &loop, Address server, std::string reportedHeader)
     : loop_(loop)
     , server_(std::move(server))
+    , reportedHeader_(std::move(reportedHeader))
 {
 }
 
@@ -133,7 +134,11 @@
                 }
                 auto &message = exchange->parser.get();
                 const bool keepAlive = message.keep_alive();
-                self->finish(exchange, HttpResponse{static_cast<int>(message.result_int()), std::move(message.body())}, keepAlive);
+                HttpResponse response{static_cast<int>(message.result_int()), std::move(message.body()), {}};
+                if (!self->reportedHeader_.empty()) {
+                    response.reportedHeader = std::string(message[self->reportedHeader_]);
+                }
+                self->finish(exchange, std::move(response), keepAlive);
             });
     });
 }
--- a/src/evloop/httpclient.h
+++ b/src/evloop/httpclient.h
@@ -32,6 +32,8 @@
 struct HttpResponse {
     int status = 0;
     std::string body;
+    /// Value of the header that the client was told to report; empty when the response has none.
+    std::string reportedHeader;
 };
 
 /// A client of one server; calls are made one at a time, in order.
@@ -42,7 +44,8 @@
 public:
     using Handler = std::function<void(Result<HttpResponse>)>;
 
-    HttpClient(boost::asio::io_context &loop, Address server);
+    /// \a reportedHeader names the header whose value each response reports; empty for none.
+    HttpClient(boost::asio::io_context &loop, Address server, std::string reportedHeader = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -73,6 +76,7 @@
 
     boost::asio::io_context &loop_;
     Address server_;
+    std::string reportedHeader_;
     std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
     std::deque<Pending> queue_;
     bool busy_ = false;
--- a/src/fleet/impl/fleetcodec.cpp
+++ b/src/fleet/impl/fleetcodec.cpp
@@ -23,6 +23,7 @@
     message.set_generation(record.generation);
     message.set_moving(record.changeInProgress);
     message.set_revision(record.revision.value);
+    message.set_epoch(record.revision.epoch.value);
 }
 
 leadership::GroupRecord recordOf(const wire::Record &message)
@@ -32,7 +33,9 @@
     record.primary = MemberName{message.primary()};
     record.generation = message.generation();
     record.changeInProgress = message.moving();
-    record.revision = Revision{message.revision()};
+    record.revision = Revision{message.revision(), StoreEpoch{message.epoch()}};
+    // Proxies exchange confirmed records only.
+    record.writtenIn = record.revision.epoch;
     return record;
 }
 
@@ -40,11 +43,14 @@
 {
     message.set_configuration(revisions.configuration.value);
     message.set_members(revisions.members.value);
+    message.set_configuration_epoch(revisions.configuration.epoch.value);
+    message.set_members_epoch(revisions.members.epoch.value);
 }
 
 CatalogRevisions revisionsOf(const wire::CatalogMarks &message)
 {
-    return {Revision{message.configuration()}, Revision{message.members()}};
+    return {Revision{message.configuration(), StoreEpoch{message.configuration_epoch()}},
+            Revision{message.members(), StoreEpoch{message.members_epoch()}}};
 }
 
 } // namespace
@@ -106,6 +112,7 @@
     message.set_holder_since_store_ms(reply.leaseHolderSinceStoreReply ? reply.leaseHolderSinceStoreReply->count() : -1);
     fill(*message.mutable_marks(), reply.catalogRevisions);
     message.set_yielded_fence(reply.relinquishedToken);
+    message.set_table_epoch(reply.tableEpoch.value);
     for (const auto &record : reply.records) {
         fill(*message.add_records(), record);
     }
@@ -126,6 +133,7 @@
     }
     reply.catalogRevisions = revisionsOf(message.marks());
     reply.relinquishedToken = message.yielded_fence();
+    reply.tableEpoch = StoreEpoch{message.table_epoch()};
     for (const auto &record : message.records()) {
         reply.records.push_back(recordOf(record));
     }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -29,6 +29,8 @@
     bool granted = false;
     Milliseconds age{0};
     std::vector<leadership::GroupRecord> records;
+    /// The epoch of the store under which the records were granted; they are forwarded only to proxies that are registered in it.
+    StoreEpoch tableEpoch;
     leadership::LeaseReport lease;
     /// Time since the store last replied to the lease holder; set only if the lease holder itself sends this reply.
     std::optional<Milliseconds> leaseHolderSinceStoreReply;
--- a/src/gateway/catalogwatcher.h
+++ b/src/gateway/catalogwatcher.h
@@ -9,6 +9,7 @@
 #include "relay/routingtable.h"
 #include "settings/sessionsettings.h"
 #include "store/catalogrevisions.h"
+#include "store/storeepochs.h"
 
 #include <boost/asio.hpp>
 
@@ -55,10 +56,12 @@
 public:
     CatalogWatcher(boost::asio::io_context &loop,
                    const SessionSettings &settings,
+                   std::shared_ptr<StoreEpochs> epochs,
                    relay::MemberDirectory &directory,
                    CatalogHandlers handlers)
         : loop_(loop)
         , settings_(settings)
+        , epochs_(std::move(epochs))
         , directory_(directory)
         , handlers_(std::move(handlers))
     {
@@ -70,6 +73,15 @@
         watchMembers();
     }
 
+    /// Lists the catalog again after \a delay, because the store came back from an older copy. Members write their entries again, so
+    /// missing ones are kept for a while.
+    void onStoreEpoch(Milliseconds delay)
+    {
+        directory_.storeFailed(evloop::bootTimeNow());
+        configuration_->listAgain(delay);
+        members_->listAgain(delay);
+    }
+
     /// The newest catalog revisions that this process knows or that others reported.
     [[nodiscard]] CatalogRevisions revisions() const
     {
@@ -146,7 +158,7 @@
             storeFailed("configuration", error);
         };
         configuration_ = std::make_shared<StoreWatcher<Store>>(loop_,
-                                                               Store(loop_, settings_.store),
+                                                               Store(loop_, settings_.store, epochs_),
                                                                ObjectKind{Store::configurationKind},
                                                                watchOptions(configurationWait()),
                                                                limits_.watchSettleDelay,
@@ -204,7 +216,7 @@
             storeFailed("members", error);
         };
         members_ = std::make_shared<StoreWatcher<Store>>(loop_,
-                                                         Store(loop_, settings_.store),
+                                                         Store(loop_, settings_.store, epochs_),
                                                          ObjectKind{Store::memberKind},
                                                          watchOptions(limits_.memberWait),
                                                          limits_.watchSettleDelay,
@@ -259,6 +271,7 @@
 
     boost::asio::io_context &loop_;
     const SessionSettings &settings_;
+    std::shared_ptr<StoreEpochs> epochs_;
     CatalogLimits limits_;
     relay::MemberDirectory &directory_;
     CatalogHandlers handlers_;
--- a/src/gateway/leadershipcontext.h
+++ b/src/gateway/leadershipcontext.h
@@ -3,16 +3,20 @@
 
 #include "fleet/client.h"
 #include "leadership/fleetlease.h"
+#include "leadership/grantepoch.h"
 #include "leadership/primarytable.h"
+#include "leadership/recordrecovery.h"
 #include "leadership/renewaltree.h"
 #include "logging/log.h"
 #include "relay/engine.h"
 #include "settings/sessionsettings.h"
+#include "store/storeepochs.h"
 #include "store/watchresume.h"
 
 #include <boost/asio.hpp>
 
 #include <functional>
+#include <memory>
 #include <string_view>
 #include <vector>
 
@@ -75,12 +79,15 @@
     SessionSettings settings;
     LeadershipHost host;
     LeadershipLimits limits;
+    std::shared_ptr<StoreEpochs> epochs;
     Store store;
     /// A second client of the same store, for reads that must not wait behind a write to `store`.
     Store readStore;
     Random random;
     leadership::FleetLease lease;
     leadership::PrimaryTable primaryTable;
+    leadership::RecordRecovery recordRecovery;
+    leadership::GrantEpoch grantEpoch;
     leadership::RenewalTree renewalTree;
     fleet::FleetClient client;
     TimePoint startedAt;
--- a/src/gateway/leadershipservice.h
+++ b/src/gateway/leadershipservice.h
@@ -28,15 +28,21 @@
 class LeadershipService
 {
 public:
-    LeadershipService(boost::asio::io_context &loop, const SessionSettings &settings, std::uint64_t seed, const LeadershipHost &host)
+    LeadershipService(boost::asio::io_context &loop,
+                      const SessionSettings &settings,
+                      const std::shared_ptr<StoreEpochs> &epochs,
+                      std::uint64_t seed,
+                      const LeadershipHost &host)
         : context_{.loop = loop,
                    .settings = settings,
                    .host = host,
                    .limits = {},
-                   .store = Store(loop, settings.store),
-                   .readStore = Store(loop, settings.store),
+                   .epochs = epochs,
+                   .store = Store(loop, settings.store, epochs),
+                   .readStore = Store(loop, settings.store, epochs),
                    .random = Random(seed),
-                   .lease = leadership::FleetLease(settings.instance, seed ^ 1U),
+                   .lease = leadership::FleetLease(settings.instance, seed ^ 1U, settings.newFleet),
+                   .recordRecovery = leadership::RecordRecovery(),
                    .startedAt = evloop::bootTimeNow()}
         , registry_(context_)
         , leaseManager_(context_,
@@ -77,6 +83,35 @@
         return Success{};
     }
 
+    /// Handles a change of the store's epoch; after the first one the fleet is listed again after \a delay.
+    void onStoreEpoch(const StoreEpochChange &change, Milliseconds delay)
+    {
+        const auto now = evloop::bootTimeNow();
+        const bool held = context_.lease.holds(now);
+        context_.lease.onStoreEpoch(change, now);
+        std::vector<GroupName> remembered;
+        if (held && leaseManager_.recordsCurrent()) {
+            for (const auto &record : context_.recordRecovery.trustedRecords(context_.primaryTable)) {
+                remembered.push_back(record.group);
+            }
+        }
+        context_.recordRecovery.onStoreEpoch(change.epoch, remembered);
+        if (held) {
+            context_.grantEpoch.onStoreEpoch(change.epoch, now);
+        }
+        if (change.first) {
+            return;
+        }
+        // Their records are of an earlier epoch; those that are due start again from the records of this one.
+        changes_.clear();
+        storeWatcher_->listAgain(held ? Milliseconds{0} : delay);
+        context_.host.log(LogLevel::Warning,
+                          "store_epoch_rose",
+                          {{"epoch", static_cast<std::int64_t>(change.epoch.value)},
+                           {"lease_held", static_cast<std::int64_t>(held ? 1 : 0)},
+                           {"records_to_confirm", static_cast<std::int64_t>(remembered.size())}});
+    }
+
     /// True while the primary table is valid and for 500 ms more; for the readiness check.
     [[nodiscard]] bool primaryTableCurrent(TimePoint now) const noexcept
     {
@@ -149,7 +184,7 @@
         handlers.failed = [](const Error &) {
         };
         storeWatcher_ = std::make_shared<StoreWatcher<Store>>(context_.loop,
-                                                              Store(context_.loop, context_.settings.store),
+                                                              Store(context_.loop, context_.settings.store, context_.epochs),
                                                               leadership::fleetKind(),
                                                               context_.limits.watch,
                                                               context_.limits.watchSettleDelay,
@@ -162,9 +197,16 @@
     {
         context_.lastStoreReplyAt = now;
         registry_.clear();
+        std::vector<leadership::GroupRecord> records;
         for (const auto &object : listing.objects) {
             applyObject(object, now);
+            const auto decoded = leadership::decodeFleetObject(object);
+            if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded)) {
+                records.push_back(*record);
+            }
         }
+        registry_.onListed(listing.revision);
+        context_.recordRecovery.onListing(records, context_.primaryTable);
         fleetListed_ = true;
         proxiesChanged();
         primaryTableChanged(now);
@@ -180,9 +222,10 @@
     {
         auto decoded = leadership::decodeFleetObject(object);
         if (const auto *lease = std::get_if<leadership::LeaseState>(&decoded)) {
-            leaseManager_.onStoredLease(object.deleted ? std::nullopt : std::optional(*lease), now);
+            leaseManager_.onStoredLease(object.deleted ? std::nullopt : std::optional(*lease), object.version.epoch, now);
         } else if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded); record != nullptr && !object.deleted) {
             context_.primaryTable.accept(*record);
+            context_.recordRecovery.onStored(*record);
         } else if (const auto *proxy = std::get_if<leadership::ProxyEntry>(&decoded)) {
             applyProxy(*proxy, object, now);
         }
@@ -282,6 +325,8 @@
     void onLeaseAcquired()
     {
         registry_.restart(evloop::bootTimeNow());
+        context_.recordRecovery.reset(context_.epochs->newest());
+        context_.grantEpoch.onAcquired(context_.epochs->newest());
         monitor_.clear();
         changes_.clear();
     }
@@ -289,6 +334,7 @@
     void onLeaseLost()
     {
         changes_.clear();
+        context_.recordRecovery.reset(context_.epochs->newest());
         controlConnections_.closeAll();
     }
 
@@ -298,12 +344,14 @@
         if (!leaseManager_.recordsCurrent() || now < lease.acquiredAt()) {
             return;
         }
-        auto &primaryTable = context_.primaryTable;
-        primaryTable.renew(primaryTable.all(), std::min(now, lease.validUntil() - leadership::primaryTableLease));
+        const auto &primaryTable = context_.primaryTable;
+        primaryTableSync_.renewAsLeaseHolder(now);
         primaryTableChanged(now);
+        writeRecords(now);
         // True once all primary tables that an earlier lease holder granted, or that a removed proxy still used, have expired.
         const bool tablesExpired = now - std::max(lease.acquiredAt(), registry_.removedAt()) >= leadership::primaryTableLease;
-        const bool mayChange = tablesExpired && now - context_.startedAt >= context_.limits.membersSettleTime;
+        const bool mayChange =
+            tablesExpired && context_.grantEpoch.earlierTablesExpired(now) && now - context_.startedAt >= context_.limits.membersSettleTime;
         for (const auto &[group, config] : context_.host.engine.routes().groups()) {
             const auto *record = primaryTable.find(group);
             if (record == nullptr) {
@@ -311,7 +359,7 @@
                 continue;
             }
             monitor_.check(*record, now);
-            if (mayChange && !changes_.contains(group)) {
+            if (mayChange && context_.recordRecovery.current(*record) && !changes_.contains(group)) {
                 changes_.startIfNeeded(*record, now);
             }
         }
@@ -320,6 +368,34 @@
         registry_.removeExpired(now);
     }
 
+    /// Writes the records again that the store lost when it came back from an older copy.
+    void writeRecords(TimePoint now)
+    {
+        for (const auto &record : context_.recordRecovery.next(context_.primaryTable, now)) {
+            const auto done = [this, record](const Result<StoredObject> &stored) {
+                if (!stored) {
+                    context_.recordRecovery.failed(record.group, evloop::bootTimeNow());
+                    leaseManager_.readRecords();
+                    return;
+                }
+                context_.recordRecovery.written(record.group);
+                applyObject(*stored, evloop::bootTimeNow());
+            };
+            context_.host.log(LogLevel::Warning,
+                              "record_written_again",
+                              {{"group", record.group.text()},
+                               {"primary", record.primary.text()},
+                               {"generation", static_cast<std::int64_t>(record.generation)},
+                               {"verified", static_cast<std::int64_t>(context_.recordRecovery.unverified(record.group) ? 0 : 1)}});
+            const auto key = leadership::recordKey(record.group);
+            if (record.revision.value == 0) {
+                context_.store.create(key, leadership::encode(record), context_.limits.storeTimeout, done);
+            } else {
+                context_.store.replace(key, record.revision, leadership::encode(record), context_.limits.storeTimeout, done);
+            }
+        }
+    }
+
     /// Creates the first record of a group, in which no member was ever promoted before.
     ///
     /// The primary is the one member that registered as primary; while none or several did, nothing is created.
@@ -342,7 +418,14 @@
         leadership::GroupRecord record;
         record.group = group;
         record.primary = claimants.front();
-        record.generation = 1;
+        record.writtenIn = context_.epochs->newest();
+        record.generation = leadership::firstGenerationOf(record.writtenIn);
+        const bool neverRecorded = record.writtenIn == StoreEpoch{} || (context_.settings.newFleet && !context_.epochs->risen());
+        if (!neverRecorded) {
+            // The store may have lost the record of a promotion, so a primary change has to find out which member leads.
+            record.changeInProgress = true;
+            context_.recordRecovery.setUnverified(group);
+        }
         const auto done = [this](const Result<StoredObject> &created) {
             if (created) {
                 applyObject(*created, evloop::bootTimeNow());
--- a/src/gateway/leasemanager.h
+++ b/src/gateway/leasemanager.h
@@ -39,18 +39,19 @@
         if (!write) {
             return;
         }
-        const auto value = leadership::encodeLease(context_.settings.instance, write->fencingToken, write->renewals);
+        const auto value = leadership::encodeLease(context_.settings.instance, write->fencingToken, write->renewals, write->epoch);
         const auto done = [this, now, write = *write](const Result<StoredObject> &stored) {
             const auto repliedAt = evloop::bootTimeNow();
             if (!stored) {
-                context_.lease.writeFailed(stored.error().kind == ErrorKind::Conflict, repliedAt);
+                context_.lease.writeFailed(write.id, stored.error().kind == ErrorKind::Conflict, repliedAt);
                 return;
             }
             context_.lastStoreReplyAt = repliedAt;
-            const bool acquired = !context_.lease.holds(repliedAt) || write.fencingToken == 0;
-            context_.lease.written(stored->version, now, repliedAt);
-            if (acquired) {
+            const auto result = context_.lease.written(write.id, stored->version, now, repliedAt);
+            if (result == leadership::LeaseWriteResult::Acquired) {
                 onAcquired();
+            } else if (result == leadership::LeaseWriteResult::Superseded) {
+                onSuperseded(write, stored->version);
             }
         };
         if (write->expected.value == 0) {
@@ -84,7 +85,7 @@
             const auto repliedAt = evloop::bootTimeNow();
             context_.lastStoreReplyAt = repliedAt;
             if (listing->objects.empty()) {
-                context_.lease.onStoredLease(std::nullopt, repliedAt);
+                onStoredLease(std::nullopt, listing->revision.epoch, repliedAt);
             }
             for (const auto &object : listing->objects) {
                 context_.applyObject(object, repliedAt);
@@ -92,12 +93,12 @@
         });
     }
 
-    /// Applies the lease as stored; std::nullopt when none is stored.
-    void onStoredLease(const std::optional<leadership::LeaseState> &lease, TimePoint now)
+    /// Applies the lease as stored in \a epoch; std::nullopt when none is stored.
+    void onStoredLease(const std::optional<leadership::LeaseState> &lease, StoreEpoch epoch, TimePoint now)
     {
         const bool held = context_.lease.holds(now);
         const auto previousHolder = context_.lease.holder();
-        context_.lease.onStoredLease(lease, now);
+        context_.lease.onStoredLease(lease, epoch, now);
         if (lease && previousHolder != context_.lease.holder()) {
             context_.host.log(LogLevel::Info,
                               "lease_seen",
@@ -144,12 +145,11 @@
         if (context_.lease.holds(now)) {
             const auto revision = context_.lease.revision();
             relinquishedToken_ = context_.lease.relinquish(now);
-            const auto relinquished = leadership::encodeLease(InstanceName{}, relinquishedToken_, 0);
-            context_.store.replace(
-                leadership::leaseKey(), revision, relinquished, context_.limits.storeTimeout, [](const Result<StoredObject> &) {});
+            returnLease(revision, relinquishedToken_);
             context_.host.log(LogLevel::Info, "lease_returned", {{"fence", static_cast<std::int64_t>(relinquishedToken_)}});
         }
         context_.lease.resign();
+        leaving_ = true;
     }
 
     /// True once the records were read after the lease was acquired.
@@ -168,6 +168,14 @@
     void readRecords()
     {
         const auto fencingToken = context_.lease.fencingToken();
+        if (std::exchange(readingRecordsFor_, fencingToken) != fencingToken) {
+            listRecords(fencingToken);
+        }
+    }
+
+private:
+    void listRecords(std::uint64_t fencingToken)
+    {
         context_.readStore.list(
             leadership::fleetKind(), context_.limits.storeTimeout, [this, fencingToken](const Result<StoreListing> &listing) {
                 const auto now = evloop::bootTimeNow();
@@ -175,15 +183,34 @@
                     return;
                 }
                 if (!listing) {
-                    readRecords();
+                    listRecords(fencingToken);
                     return;
                 }
+                readingRecordsFor_ = 0;
                 context_.applyListing(*listing, now);
                 recordsCurrent_ = true;
             });
     }
 
-private:
+    /// Writes to the store that the lease with \a fencingToken, stored at \a revision, has no holder.
+    void returnLease(Revision revision, std::uint64_t fencingToken)
+    {
+        const auto value = leadership::encodeLease(InstanceName{}, fencingToken, 0, revision.epoch);
+        context_.store.replace(leadership::leaseKey(), revision, value, context_.limits.storeTimeout, [](const Result<StoredObject> &) {});
+    }
+
+    /// Handles the success of a write that no longer counts. A leaving process returns the lease that the write left in the store: the
+    /// return that leave() requested was refused, because the write had changed the revision.
+    void onSuperseded(const leadership::LeaseWrite &write, Revision revision)
+    {
+        const auto token = write.fencingToken == 0 ? leadership::fencingTokenOf(revision) : write.fencingToken;
+        context_.host.log(LogLevel::Info, "lease_write_superseded", {{"fence", static_cast<std::int64_t>(token)}});
+        if (leaving_) {
+            relinquishedToken_ = token;
+            returnLease(revision, token);
+        }
+    }
+
     void onAcquired()
     {
         context_.host.log(LogLevel::Info, "lease_taken", {{"fence", static_cast<std::int64_t>(context_.lease.fencingToken())}});
@@ -208,6 +235,9 @@
     TimePoint readAt_;
     bool readPending_ = false;
     std::uint64_t relinquishedToken_ = 0;
+    /// Fencing token of the lease for which the records are being read; 0 for none.
+    std::uint64_t readingRecordsFor_ = 0;
+    bool leaving_ = false;
 };
 
 } // namespace cardamomstep::gateway
--- a/src/gateway/primarychanges.h
+++ b/src/gateway/primarychanges.h
@@ -11,6 +11,7 @@
 #include "leadership/recordjson.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -47,7 +48,9 @@
     {
         std::optional<leadership::PrimaryChangeReason> reason;
         const auto *member = context_.host.directory.find(record.primary);
-        if (record.changeInProgress) {
+        if (record.changeInProgress && context_.recordRecovery.unverified(record.group)) {
+            reason = leadership::PrimaryChangeReason::Unverified;
+        } else if (record.changeInProgress) {
             reason = leadership::PrimaryChangeReason::Resumed;
         } else if (member != nullptr && member->draining && hasSuccessor(record)) {
             reason = leadership::PrimaryChangeReason::Leaving;
@@ -64,25 +67,33 @@
                            {"reason", leadership::toText(*reason)},
                            {"generation", static_cast<std::int64_t>(record.generation)},
                            {"fence", static_cast<std::int64_t>(context_.lease.fencingToken())}});
-        auto &change = changes_.emplace(record.group, leadership::PrimaryChange(record, *reason, now)).first->second;
-        change.onAcknowledged(primaryTableSync_.acknowledged(record.group));
-        change.setMembers(context_.host.directory.membersOf(record.group));
+        ++lastId_.value;
+        auto &running =
+            changes_.emplace(record.group, RunningChange{lastId_, leadership::PrimaryChange(record, *reason, now)}).first->second;
+        running.change.onAcknowledged(primaryTableSync_.acknowledged(record.group));
+        running.change.setMembers(context_.host.directory.membersOf(record.group));
     }
 
     /// Performs the due actions of all primary changes; drops the changes that have finished.
     void stepAll(TimePoint now)
     {
-        for (auto change = changes_.begin(); change != changes_.end();) {
-            step(change->first, change->second, now);
-            change = change->second.finished() ? changes_.erase(change) : std::next(change);
+        for (auto entry = changes_.begin(); entry != changes_.end();) {
+            auto &running = entry->second;
+            step({entry->first, running.id}, running.change, now);
+            if (running.change.finished()) {
+                context_.recordRecovery.onChangeEnded(entry->first);
+                entry = changes_.erase(entry);
+            } else {
+                ++entry;
+            }
         }
     }
 
     /// Handles a change of the directory of members.
     void membersChanged()
     {
-        for (auto &[group, change] : changes_) {
-            change.setMembers(context_.host.directory.membersOf(group));
+        for (auto &[group, running] : changes_) {
+            running.change.setMembers(context_.host.directory.membersOf(group));
         }
     }
 
@@ -92,6 +103,24 @@
     }
 
 private:
+    /// Identifies one primary change, so that a late reply to a request of an earlier change of the group is not taken for a reply to it.
+    struct ChangeId {
+        std::uint64_t value = 0;
+
+        [[nodiscard]] bool operator==(const ChangeId &) const = default;
+    };
+
+    struct RunningChange {
+        ChangeId id;
+        leadership::PrimaryChange change;
+    };
+
+    /// The change for which a request is made.
+    struct ChangeRef {
+        GroupName group;
+        ChangeId id;
+    };
+
     [[nodiscard]] bool hasSuccessor(const leadership::GroupRecord &record) const
     {
         const auto members = context_.host.directory.membersOf(record.group);
@@ -99,58 +128,65 @@
             members.begin(), members.end(), [&record](const auto &member) { return member.name != record.primary && !member.draining; });
     }
 
-    void step(const GroupName &group, leadership::PrimaryChange &change, TimePoint now)
+    void step(const ChangeRef &ref, leadership::PrimaryChange &change, TimePoint now)
     {
         for (auto &action : change.next(now)) {
-            std::visit([this, &group](const auto &dueAction) { perform(group, dueAction); }, action);
+            std::visit([this, &ref](const auto &dueAction) { perform(ref, dueAction); }, action);
         }
     }
 
-    /// The group's primary change; null when none is in progress, for example when a reply arrives after the end of the change.
-    leadership::PrimaryChange *changeOf(const GroupName &group)
+    /// The referenced change; null when it has ended, for example when a reply arrives late.
+    leadership::PrimaryChange *changeOf(const ChangeRef &ref)
     {
-        const auto found = changes_.find(group);
-        return found == changes_.end() ? nullptr : &found->second;
+        const auto found = changes_.find(ref.group);
+        return found == changes_.end() || found->second.id != ref.id ? nullptr : &found->second.change;
     }
 
-    void scheduleStep(const GroupName &group)
+    void end(const GroupName &group)
     {
-        boost::asio::post(context_.loop, [this, group] {
+        context_.recordRecovery.onChangeEnded(group);
+        changes_.erase(group);
+    }
+
+    void scheduleStep(const ChangeRef &ref)
+    {
+        boost::asio::post(context_.loop, [this, ref] {
             const auto now = evloop::bootTimeNow();
-            auto *change = changeOf(group);
+            auto *change = changeOf(ref);
             if (change == nullptr || !context_.lease.holds(now)) {
                 return;
             }
-            step(group, *change, now);
+            step(ref, *change, now);
             if (change->finished()) {
-                changes_.erase(group);
+                end(ref.group);
             }
         });
     }
 
-    void perform(const GroupName &group, const leadership::StoreRecord &action)
+    void perform(const ChangeRef &ref, const leadership::StoreRecord &action)
     {
-        const auto wanted = action.record;
-        context_.store.replace(leadership::recordKey(group),
+        auto wanted = action.record;
+        wanted.writtenIn = context_.epochs->newest();
+        context_.store.replace(leadership::recordKey(ref.group),
                                wanted.revision,
                                leadership::encode(wanted),
                                context_.limits.storeTimeout,
-                               [this, group, wanted](const Result<StoredObject> &stored) {
+                               [this, ref, wanted](const Result<StoredObject> &stored) {
                                    if (stored) {
-                                       recordStored(group, wanted, stored->version);
+                                       recordStored(ref, wanted, stored->version);
                                        return;
                                    }
-                                   resolveRecord(group, wanted);
+                                   resolveRecord(ref, wanted);
                                });
     }
 
     /// Reads the stored record to find out whether a write that failed or whose reply was lost took effect.
-    void resolveRecord(const GroupName &group, const leadership::GroupRecord &wanted)
+    void resolveRecord(const ChangeRef &ref, const leadership::GroupRecord &wanted)
     {
         context_.readStore.list(
-            leadership::fleetKind(), context_.limits.storeTimeout, [this, group, wanted](const Result<StoreListing> &listing) {
+            leadership::fleetKind(), context_.limits.storeTimeout, [this, ref, wanted](const Result<StoreListing> &listing) {
                 const auto now = evloop::bootTimeNow();
-                auto *change = changeOf(group);
+                auto *change = changeOf(ref);
                 if (change == nullptr) {
                     return;
                 }
@@ -161,13 +197,13 @@
                 for (const auto &object : listing->objects) {
                     const auto decoded = leadership::decodeFleetObject(object);
                     const auto *record = std::get_if<leadership::GroupRecord>(&decoded);
-                    if (record == nullptr || record->group != group) {
+                    if (record == nullptr || record->group != ref.group) {
                         continue;
                     }
-                    const bool matchesWanted = record->primary == wanted.primary && record->generation == wanted.generation
-                        && record->changeInProgress == wanted.changeInProgress;
+                    const bool matchesWanted = record->confirmed() && record->primary == wanted.primary
+                        && record->generation == wanted.generation && record->changeInProgress == wanted.changeInProgress;
                     if (matchesWanted && record->revision != wanted.revision) {
-                        recordStored(group, wanted, record->revision);
+                        recordStored(ref, wanted, record->revision);
                         return;
                     }
                     change->recordFailed(record->revision != wanted.revision, now);
@@ -177,11 +213,11 @@
             });
     }
 
-    void recordStored(const GroupName &group, leadership::GroupRecord record, Revision revision)
+    void recordStored(const ChangeRef &ref, leadership::GroupRecord record, Revision revision)
     {
         const auto now = evloop::bootTimeNow();
         record.revision = revision;
-        auto *change = changeOf(group);
+        auto *change = changeOf(ref);
         if (change == nullptr) {
             return;
         }
@@ -189,16 +225,16 @@
         context_.primaryTable.accept(record);
         if (record.changeInProgress) {
             context_.primaryTableChanged(now);
-            scheduleStep(group);
+            scheduleStep(ref);
             return;
         }
         context_.host.log(LogLevel::Info,
                           "move_ended",
-                          {{"group", group.text()},
+                          {{"group", ref.group.text()},
                            {"primary", record.primary.text()},
                            {"generation", static_cast<std::int64_t>(record.generation)},
                            {"took_ms", static_cast<std::int64_t>(wholeMilliseconds(now - change->startedAt()).count())}});
-        changes_.erase(group);
+        end(ref.group);
         context_.primaryTable.renew({record}, std::min(now, context_.lease.validUntil() - leadership::primaryTableLease));
         context_.primaryTableChanged(now);
         for (const auto &[instance, proxy] : registry_.all()) {
@@ -211,26 +247,31 @@
         }
     }
 
-    void perform(const GroupName &group, const leadership::ListProxies &)
+    void perform(const ChangeRef &ref, const leadership::ListProxies &)
     {
-        context_.readStore.list(leadership::fleetKind(), context_.limits.storeTimeout, [this, group](const Result<StoreListing> &listing) {
-            auto *change = changeOf(group);
+        context_.readStore.list(leadership::fleetKind(), context_.limits.storeTimeout, [this, ref](const Result<StoreListing> &listing) {
+            auto *change = changeOf(ref);
             if (!listing || change == nullptr) {
                 return;
             }
             const auto now = evloop::bootTimeNow();
             context_.applyListing(*listing, now);
-            change->proxiesListed(registry_.names(), now);
-            scheduleStep(group);
+            auto proxies = registry_.names();
+            if (registry_.find(context_.settings.instance) == nullptr) {
+                // This process relies on its own records even while the store lacks its entry.
+                proxies.push_back(context_.settings.instance);
+            }
+            change->proxiesListed(proxies, now);
+            scheduleStep(ref);
         });
     }
 
-    void perform(const GroupName &group, const leadership::QuiesceProxy &action)
+    void perform(const ChangeRef &ref, const leadership::QuiesceProxy &action)
     {
-        const auto onQuiesced = [this, group, proxy = action.proxy](const fleet::QuiesceReply &reply) {
-            if (auto *change = changeOf(group)) {
+        const auto onQuiesced = [this, ref, proxy = action.proxy](const fleet::QuiesceReply &reply) {
+            if (auto *change = changeOf(ref)) {
                 change->quiesced(proxy, reply.acknowledged, reply.uptime, evloop::bootTimeNow());
-                scheduleStep(group);
+                scheduleStep(ref);
             }
         };
         if (action.proxy == context_.settings.instance) {
@@ -253,33 +294,32 @@
                                  });
     }
 
-    void perform(const GroupName &group, const leadership::StopReplication &action)
+    void perform(const ChangeRef &ref, const leadership::StopReplication &action)
     {
-        controlConnections_.send(action.member, relay::MemberVerb::Pause, action.term, [this, group, action](const ControlReply &reply) {
-            auto *change = changeOf(group);
+        controlConnections_.send(action.member, relay::MemberVerb::Pause, action.term, [this, ref, action](const ControlReply &reply) {
+            auto *change = changeOf(ref);
             if (change != nullptr && reply.status) {
                 change->replicationStopped({action.member, *reply.status}, action.term);
-                scheduleStep(group);
+                scheduleStep(ref);
             }
         });
     }
 
-    void perform(const GroupName &group, const leadership::QueryMember &action)
+    void perform(const ChangeRef &ref, const leadership::QueryMember &action)
     {
-        controlConnections_.send(
-            action.member, relay::MemberVerb::Status, 0, [this, group, name = action.member](const ControlReply &reply) {
-                auto *change = changeOf(group);
-                if (change != nullptr && reply.status) {
-                    change->memberStatus({name, *reply.status});
-                    scheduleStep(group);
-                }
-            });
+        controlConnections_.send(action.member, relay::MemberVerb::Status, 0, [this, ref, name = action.member](const ControlReply &reply) {
+            auto *change = changeOf(ref);
+            if (change != nullptr && reply.status) {
+                change->memberStatus({name, *reply.status});
+                scheduleStep(ref);
+            }
+        });
     }
 
-    void perform(const GroupName &group, const leadership::PromoteMember &action)
+    void perform(const ChangeRef &ref, const leadership::PromoteMember &action)
     {
         const auto now = evloop::bootTimeNow();
-        auto *change = changeOf(group);
+        auto *change = changeOf(ref);
         if (change == nullptr) {
             return;
         }
@@ -290,16 +330,16 @@
         }
         context_.host.log(LogLevel::Info,
                           "promote",
-                          {{"group", group.text()},
+                          {{"group", ref.group.text()},
                            {"member", action.member.text()},
                            {"fence", static_cast<std::int64_t>(context_.lease.fencingToken())}});
-        promoter_.promote(group,
+        promoter_.promote(ref.group,
                           action.member,
                           context_.settings.instance,
                           context_.lease.fencingToken(),
                           context_.limits.promoteTimeout,
-                          [this, group, name = action.member](const Result<Success> &result) {
-                              auto *pending = changeOf(group);
+                          [this, ref, name = action.member](const Result<Success> &result) {
+                              auto *pending = changeOf(ref);
                               if (pending == nullptr) {
                                   return;
                               }
@@ -308,19 +348,19 @@
                                   context_.host.log(
                                       LogLevel::Warning,
                                       "promote_failed",
-                                      {{"group", group.text()}, {"member", name.text()}, {"fault", result.error().description}});
+                                      {{"group", ref.group.text()}, {"member", name.text()}, {"fault", result.error().description}});
                               }
                               pending->promoted(name, static_cast<bool>(result), refused, evloop::bootTimeNow());
-                              scheduleStep(group);
+                              scheduleStep(ref);
                           });
     }
 
-    void perform(const GroupName &, const leadership::DemoteMember &action)
+    void perform(const ChangeRef &, const leadership::DemoteMember &action)
     {
         controlConnections_.send(action.member, relay::MemberVerb::Demote, action.term, [](const ControlReply &) {});
     }
 
-    void perform(const GroupName &, const leadership::ResumeReplication &action)
+    void perform(const ChangeRef &, const leadership::ResumeReplication &action)
     {
         controlConnections_.send(action.member, relay::MemberVerb::Resume, 0, [](const ControlReply &) {});
     }
@@ -330,7 +370,8 @@
     MemberControlConnections<Wire, Store> &controlConnections_;
     PrimaryMonitor<Wire, Store> &monitor_;
     Promoter promoter_;
-    std::map<GroupName, leadership::PrimaryChange> changes_;
+    std::map<GroupName, RunningChange> changes_;
+    ChangeId lastId_;
 };
 
 } // namespace cardamomstep::gateway
--- a/src/gateway/primarytablesync.h
+++ b/src/gateway/primarytablesync.h
@@ -74,21 +74,23 @@
         if (!context_.lease.holds(now)) {
             // The table is granted with its age, so it expires at the requesting proxy when it expires here.
             // Primary changes wait only for the tables of registered proxies, so others are granted none.
-            reply.granted =
-                now - context_.primaryTable.asOf() < leadership::primaryTableLease * 3 / 4 && registry_.find(request.instance) != nullptr;
+            reply.granted = now - context_.primaryTable.asOf() < leadership::primaryTableLease * 3 / 4
+                && registry_.registeredIn(request.instance, tableEpoch_);
             reply.age = std::chrono::ceil<Milliseconds>(now - context_.primaryTable.asOf());
             reply.records = context_.primaryTable.current();
+            reply.tableEpoch = tableEpoch_;
             return reply;
         }
         // The granted table must expire before another proxy can acquire the lease.
         reply.granted = context_.lease.holds(now + leadership::primaryTableLease) && leaseManager_.recordsCurrent()
-            && registry_.find(request.instance) != nullptr;
+            && registry_.registeredIn(request.instance, context_.grantEpoch.at(now));
         reply.leaseHolderSinceStoreReply = wholeMilliseconds(now - context_.lastStoreReplyAt);
         registry_.onContact(request.instance, now);
         for (const auto &downstreamProxy : request.downstreamProxies) {
             registry_.onContact(downstreamProxy, now);
         }
-        reply.records = context_.primaryTable.all();
+        reply.records = context_.recordRecovery.trustedRecords(context_.primaryTable);
+        reply.tableEpoch = context_.grantEpoch.at(now);
         return reply;
     }
 
@@ -128,6 +130,15 @@
         return reported == acknowledged_.end() ? own : std::max(own, reported->second);
     }
 
+    /// Renews this process' own table from the records on which it may rely as the lease holder.
+    void renewAsLeaseHolder(TimePoint now)
+    {
+        auto &table = context_.primaryTable;
+        table.renew(context_.recordRecovery.trustedRecords(table),
+                    std::min(now, context_.lease.validUntil() - leadership::primaryTableLease));
+        tableEpoch_ = std::max(tableEpoch_, context_.grantEpoch.at(now));
+    }
+
     /// Forgets a proxy that is not registered any more.
     void forget(const InstanceName &proxy)
     {
@@ -199,6 +210,7 @@
             return;
         }
         renewAttempt_ = 0;
+        tableEpoch_ = std::max(tableEpoch_, reply->tableEpoch);
         context_.primaryTable.renew(reply->records, requestedAt - reply->age);
         context_.primaryTableChanged(now);
         // A lease holder without replies from the store relinquishes the lease to a proxy that gets them; this read shows whether
@@ -238,6 +250,7 @@
             }
         }
         if (registered) {
+            tableEpoch_ = std::max(tableEpoch_, listing.revision.epoch);
             context_.primaryTable.renew(records, requestedAt);
         } else {
             registry_.onEntryMissing();
@@ -249,6 +262,8 @@
     LeaseManager<Store> &leaseManager_;
     ProxyRegistry<Store> &registry_;
     PrimaryTableSyncHandlers handlers_;
+    /// The newest epoch of the store under which any of this process' tables was granted.
+    StoreEpoch tableEpoch_;
     bool renewPending_ = false;
     TimePoint renewedAt_;
     /// The number of consecutive failed renewals, by proxy.
--- a/src/gateway/proxyregistry.h
+++ b/src/gateway/proxyregistry.h
@@ -31,10 +31,7 @@
     /// Writes this proxy's entry to the store; retryRegistration() repeats it after a failure.
     void registerSelf()
     {
-        const auto value = leadership::encode(leadership::ProxyEntry{context_.settings.instance,
-                                                                     context_.settings.listen.peers,
-                                                                     context_.settings.listen.sessions,
-                                                                     context_.settings.failureDomain});
+        const auto value = leadership::encode(ownEntry());
         const auto key = leadership::proxyKey(context_.settings.instance);
         context_.store.create(key, value, context_.limits.storeTimeout, [this, key, value](const Result<StoredObject> &created) {
             if (created) {
@@ -67,16 +64,24 @@
     /// Handles the absence of this proxy's entry from the store: retryRegistration() registers it again.
     void onEntryMissing()
     {
-        if (registered()) {
+        if (ownRevision_.value != 0) {
             ownRevision_ = Revision{};
             registrationFailed_ = true;
             context_.host.log(LogLevel::Warning, "entry_missed", {});
         }
     }
 
+    /// True if the store's present epoch is known to contain this proxy's entry.
     [[nodiscard]] bool registered() const noexcept
     {
-        return ownRevision_.value != 0;
+        return ownRevision_.value != 0 && ownRevision_.epoch == context_.epochs->newest();
+    }
+
+    /// True if \a instance was seen registered in \a epoch or a later one.
+    [[nodiscard]] bool registeredIn(const InstanceName &instance, StoreEpoch epoch) const
+    {
+        const auto found = proxies_.find(instance);
+        return found != proxies_.end() && found->second.revision.epoch >= epoch;
     }
 
     /// Adds or replaces the entry of a proxy.
@@ -84,6 +89,17 @@
     {
         proxies_[entry.instance] = {entry, revision};
         liveness_.onRegistered(entry.instance, now);
+        if (entry.instance == context_.settings.instance && ownRevision_ < revision) {
+            onOwnEntry(entry, revision);
+        }
+    }
+
+    /// Registers this proxy again if the store came back from a copy without its entry.
+    void onListed(Revision asOf)
+    {
+        if (ownRevision_ < asOf && find(context_.settings.instance) == nullptr) {
+            onEntryMissing();
+        }
     }
 
     void remove(const InstanceName &instance)
@@ -167,6 +183,22 @@
     }
 
 private:
+    [[nodiscard]] leadership::ProxyEntry ownEntry() const
+    {
+        return {
+            context_.settings.instance, context_.settings.listen.peers, context_.settings.listen.sessions, context_.settings.failureDomain};
+    }
+
+    /// Handles the stored entry of this proxy, which an earlier process of the instance may have written with other addresses.
+    void onOwnEntry(const leadership::ProxyEntry &entry, Revision revision)
+    {
+        if (entry == ownEntry()) {
+            ownRevision_ = revision;
+        } else if (ownRevision_.value != 0) {
+            onEntryMissing();
+        }
+    }
+
     LeadershipContext<Store> &context_;
     std::map<InstanceName, RegisteredProxy> proxies_;
     leadership::ProxyLiveness liveness_;
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -33,6 +33,8 @@
     Milliseconds acceptAfterStop{2500};
     /// Time after that for the connections that were accepted last.
     Milliseconds lastConnectionsGrace{250};
+    /// Longest random delay before the store is listed again after it changed its epoch, so that a fleet does not list at once.
+    Milliseconds epochListingSpread{400};
 };
 
 /// One session proxy process; \a Wire is the line format, \a Store and \a Promoter are the platform's services.
@@ -44,11 +46,13 @@
         : loop_(loop)
         , settings_(settings)
         , settingsFile_(std::move(settingsFile))
+        , random_(seedOf(settings))
         , log_(1, settings.logLevel, settings.instance.text())
         , engine_(settings.failureDomain, seedOf(settings))
         , placement_(engine_, {settings.instance, settings.failureDomain, settings.listen.sessions})
-        , catalog_(loop, settings_, directory_, catalogHandlers())
-        , leadership_(loop, settings, seedOf(settings), leadershipHost())
+        , epochs_(std::make_shared<StoreEpochs>())
+        , catalog_(loop, settings_, epochs_, directory_, catalogHandlers())
+        , leadership_(loop, settings, epochs_, seedOf(settings), leadershipHost())
         , acceptor_(loop)
         , sessionAcceptor_(loop)
         , wakeTimer_(loop)
@@ -82,6 +86,7 @@
             accept(sessionAcceptor_, true);
         }
         accept(acceptor_, false);
+        epochs_->onChange([this](const StoreEpochChange &change) { onStoreEpoch(change); });
         catalog_.start();
         scheduleLog();
         perform();
@@ -261,6 +266,17 @@
         return handlers;
     }
 
+    /// Lists everything again when the store came back from an older copy, at a random time so that the fleet does not list at once.
+    void onStoreEpoch(const StoreEpochChange &change)
+    {
+        const auto spread = static_cast<std::uint64_t>(limits_.epochListingSpread.count());
+        const auto delay = Milliseconds{static_cast<std::int64_t>(random_.below(spread))};
+        if (!change.first) {
+            catalog_.onStoreEpoch(delay);
+        }
+        leadership_.onStoreEpoch(change, delay);
+    }
+
     void applyConfiguration(const relay::Configuration &configuration, Revision revision)
     {
         const auto previousVersion = engine_.routes().version();
@@ -452,11 +468,13 @@
     SessionSettings settings_;
     std::string settingsFile_;
     SessionProxyLimits limits_;
+    Random random_;
     BoundedLog log_;
     ProxyMetrics metrics_;
     relay::Engine engine_;
     relay::MemberDirectory directory_;
     SessionPlacement placement_;
+    std::shared_ptr<StoreEpochs> epochs_;
     CatalogWatcher<Store> catalog_;
     LeadershipService<Wire, Store, Promoter> leadership_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -91,6 +91,14 @@
         return missedChanges_.onPeerRevision(newest, completeUpTo_, now) && restartWatch();
     }
 
+    /// Lists again after \a delay, because the store changed its epoch: a watch would miss what changed in between.
+    void listAgain(Milliseconds delay)
+    {
+        resume_.requireListing(evloop::bootTimeNow() + delay);
+        // Posted, because a reply to this very watch may have shown the new epoch.
+        boost::asio::post(timer_.get_executor(), [self = this->shared_from_this()] { self->restartWatch(); });
+    }
+
     void stop()
     {
         stopped_ = true;
--- a/src/leadership/fleetlease.cpp
+++ b/src/leadership/fleetlease.cpp
@@ -2,11 +2,45 @@
 #include "leadership/fleetlease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamomstep::leadership {
 
-void FleetLease::onStoredLease(const std::optional<LeaseState> &state, TimePoint now)
+namespace {
+
+/// Bits of the number of a revision in a fencing token. Tokens stay below 2^53, which every JSON reader represents exactly.
+constexpr unsigned tokenNumberBits = 33;
+constexpr unsigned tokenEpochBits = 20;
+
+} // namespace
+
+std::uint64_t fencingTokenOf(Revision revision) noexcept
 {
+    const bool representable = (revision.value >> tokenNumberBits) == 0 && (revision.epoch.value >> tokenEpochBits) == 0;
+    return representable ? (revision.epoch.value << tokenNumberBits) | revision.value : 0;
+}
+
+void FleetLease::onStoreEpoch(const StoreEpochChange &change, TimePoint now)
+{
+    if (!change.first && change.epoch <= epoch_) {
+        return;
+    }
+    newFleet_ = newFleet_ && change.first;
+    epoch_ = change.epoch;
+    epochSince_ = now;
+    state_.reset();
+    stateRead_ = false;
+    if (!holds(now)) {
+        // Another proxy may have taken the lease by a write that the store lost.
+        held_ = false;
+    }
+}
+
+void FleetLease::onStoredLease(const std::optional<LeaseState> &state, StoreEpoch epoch, TimePoint now)
+{
+    if (epoch != epoch_) {
+        return;
+    }
     conflicted_ = false;
     const bool older = state && state_ && state->revision < state_->revision;
     if (older) {
@@ -22,7 +56,7 @@
     contentionDelay_ =
         Milliseconds{static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(limits_.maxContentionDelay.count()) + 1))};
     const bool mine = state && state->holder == self_ && state->fencingToken == fencingToken_;
-    if (held_ && !mine) {
+    if (held_ && !mine && storedLeaseConfirmed()) {
         held_ = false;
     }
     if (!state || state->holder != self_) {
@@ -63,17 +97,32 @@
     return state_ ? state_->holder : InstanceName{};
 }
 
+/// True when the stored lease, or its absence, cannot be a state that a newer lost one replaced.
+bool FleetLease::storedLeaseConfirmed() const noexcept
+{
+    return state_ ? state_->confirmed() : epoch_ == StoreEpoch{} || newFleet_;
+}
+
 std::optional<LeaseWrite> FleetLease::next(TimePoint now)
 {
-    if (needsRead() || writePending_ || resigned_ || now < nextAttemptAt_) {
+    if (needsRead() || pendingWrite_ || resigned_ || now < nextAttemptAt_) {
         return std::nullopt;
     }
+    if (held_ && !storedLeaseConfirmed() && !holds(now)) {
+        held_ = false;
+    }
     if (held_) {
-        if (now - renewedAt_ < limits_.renewalInterval) {
-            return std::nullopt;
-        }
-        writePending_ = true;
-        return LeaseWrite{state_->revision, fencingToken_, ++renewals_};
+        const bool due = now - renewedAt_ >= limits_.renewalInterval || !storedLeaseConfirmed();
+        return due ? std::optional(startWrite(fencingToken_)) : std::nullopt;
+    }
+    return mayTake(now) ? std::optional(startWrite(0)) : std::nullopt;
+}
+
+bool FleetLease::mayTake(TimePoint now) const
+{
+    if (!storedLeaseConfirmed()) {
+        // The lease that the store lost was renewed before this epoch began.
+        return now - epochSince_ >= limits_.duration + contentionDelay_ && now >= reportedEnd_ + limits_.clockMargin;
     }
     // A stored lease that names this instance belongs to an earlier process of it, which has ended.
     const bool own = state_ && state_->holder == self_;
@@ -84,25 +133,42 @@
     const bool same = state_ && state_->fencingToken == report_.fencingToken && state_->renewals == report_.renewals;
     const bool expired = unrenewed || (same && now >= reportedEnd_ + limits_.clockMargin + contentionDelay_);
     const bool relinquished = state_ && state_->fencingToken == relinquishedToken_ && now - relinquishedAt_ >= contentionDelay_;
-    if (!own && !(free && now - unchangedSince_ >= contentionDelay_) && !expired && !relinquished) {
-        return std::nullopt;
-    }
-    writePending_ = true;
-    return LeaseWrite{state_ ? state_->revision : Revision{}, 0, ++renewals_};
+    return own || (free && now - unchangedSince_ >= contentionDelay_) || expired || relinquished;
+}
+
+LeaseWrite FleetLease::startWrite(std::uint64_t fencingToken)
+{
+    ++lastWriteId_.value;
+    pendingWrite_ = LeaseWrite{lastWriteId_, state_ ? state_->revision : Revision{}, epoch_, fencingToken, ++renewals_};
+    return *pendingWrite_;
 }
 
-void FleetLease::written(Revision revision, TimePoint writeStartedAt, TimePoint now)
+LeaseWriteResult FleetLease::written(LeaseWriteId id, Revision revision, TimePoint writeStartedAt, TimePoint now)
 {
-    writePending_ = false;
-    if (!held_) {
-        held_ = true;
+    if (!pendingWrite_ || pendingWrite_->id != id) {
+        return LeaseWriteResult::Superseded;
+    }
+    const auto write = *std::exchange(pendingWrite_, std::nullopt);
+    const bool acquisition = write.fencingToken == 0;
+    const auto token = acquisition ? fencingTokenOf(revision) : write.fencingToken;
+    const bool sameEpoch = write.epoch == epoch_ && revision.epoch == epoch_;
+    const bool newestRead = !state_ || state_->revision <= revision;
+    const bool wanted = acquisition ? !resigned_ && token != 0 : held_;
+    if (!sameEpoch || !newestRead || !wanted) {
+        conflicted_ = true;
+        return LeaseWriteResult::Superseded;
+    }
+    const bool heldBefore = !acquisition && holds(now);
+    if (!heldBefore) {
         acquiredAt_ = now;
-        fencingToken_ = revision.value;
     }
+    held_ = true;
+    fencingToken_ = token;
     renewedAt_ = writeStartedAt;
     validUntil_ = writeStartedAt + limits_.duration - limits_.clockMargin;
-    state_ = LeaseState{self_, fencingToken_, renewals_, revision};
+    state_ = LeaseState{self_, fencingToken_, write.renewals, revision, write.epoch};
     unchangedSince_ = now;
+    return heldBefore ? LeaseWriteResult::Renewed : LeaseWriteResult::Acquired;
 }
 
 std::uint64_t FleetLease::relinquish(TimePoint now)
@@ -122,9 +188,12 @@
     }
 }
 
-void FleetLease::writeFailed(bool conflict, TimePoint now)
+void FleetLease::writeFailed(LeaseWriteId id, bool conflict, TimePoint now)
 {
-    writePending_ = false;
+    if (!pendingWrite_ || pendingWrite_->id != id) {
+        return;
+    }
+    pendingWrite_.reset();
     nextAttemptAt_ = now + limits_.retryDelay;
     conflicted_ = conflict;
 }
--- a/src/leadership/primarychange.cpp
+++ b/src/leadership/primarychange.cpp
@@ -153,7 +153,8 @@
     retryAt_ = now + limits_.retryInterval;
     quiesceProxies(actions);
     queryMembers(actions);
-    if (ready || !planned()) {
+    const bool mayStillVerify = reason_ == PrimaryChangeReason::Unverified && now - recordedAt_ < limits_.memberTimeout;
+    if ((ready || !planned()) && !mayStillVerify) {
         stopReplicas(actions);
     }
 }
@@ -192,7 +193,7 @@
         stoppedReplicas_.clear();
     }
     for (const auto &[name, member] : members_) {
-        if (name != record_.primary && statuses_.contains(name) && !stoppedReplicas_.contains(name)) {
+        if (isReplica(name) && statuses_.contains(name) && !stoppedReplicas_.contains(name)) {
             actions.emplace_back(StopReplication{name, stopTerm_});
         }
     }
@@ -220,7 +221,7 @@
 bool PrimaryChange::replicasSettled() const
 {
     return std::all_of(members_.begin(), members_.end(), [this](const auto &member) {
-        return member.first == record_.primary || stoppedReplicas_.contains(member.first);
+        return !isReplica(member.first) || stoppedReplicas_.contains(member.first);
     });
 }
 
@@ -253,12 +254,44 @@
     return chosen ? chosen : std::optional(*longest);
 }
 
+/// A leader at a term that no member exceeds is the newest one, unless a member without a status leads at a higher one: that member has
+/// acknowledged nothing without a replica, and has no replica among the others.
+std::optional<MemberName> PrimaryChange::verifiedLeader() const
+{
+    const MemberStatus *leader = nullptr;
+    std::uint64_t highestTerm = 0;
+    std::size_t answered = 0;
+    for (const auto &[name, status] : statuses_) {
+        if (!members_.contains(name)) {
+            continue;
+        }
+        ++answered;
+        highestTerm = std::max({highestTerm, status.reply.term, status.reply.received.term.number});
+        if (status.reply.primary && (leader == nullptr || leader->reply.term < status.reply.term)) {
+            leader = &status;
+        }
+    }
+    if (leader == nullptr || leader->reply.term < highestTerm || leader->reply.received < acknowledged_) {
+        return std::nullopt;
+    }
+    const bool enough = answered == members_.size() || (answered + 1 == members_.size() && allAcknowledgementsKnown());
+    return enough ? std::optional(leader->member) : std::nullopt;
+}
+
 void PrimaryChange::chooseMember(PrimaryChangeActions &actions, TimePoint now)
 {
+    if (reason_ == PrimaryChangeReason::Unverified && stoppedReplicas_.empty()) {
+        if (const auto leader = verifiedLeader()) {
+            newTerm_ = statuses_.at(*leader).reply.term;
+            startPublishing(*leader);
+            return;
+        }
+    }
     const auto elapsed = now - recordedAt_;
     const auto candidate = bestCandidate();
     const auto primary = statuses_.find(record_.primary);
-    const bool primaryLeads = primary != statuses_.end() && primary->second.reply.primary;
+    const bool recordVerified = reason_ != PrimaryChangeReason::Unverified;
+    const bool primaryLeads = recordVerified && primary != statuses_.end() && primary->second.reply.primary;
     if (!candidate) {
         // No other member can be promoted; the old primary may continue once its replicas replicate again.
         if (primaryLeads && elapsed >= limits_.memberTimeout && !planned()) {
--- a/src/leadership/primarychange.h
+++ b/src/leadership/primarychange.h
@@ -140,6 +140,13 @@
     void recording(PrimaryChangeActions &actions, TimePoint now);
     void gathering(PrimaryChangeActions &actions, TimePoint now);
     void queryMembers(PrimaryChangeActions &actions);
+    /// The member that certainly leads, although the recorded primary may be outdated; nothing while that is not known.
+    [[nodiscard]] std::optional<MemberName> verifiedLeader() const;
+    /// True if \a member may have to be stopped or promoted: it is not known to lead.
+    [[nodiscard]] bool isReplica(const MemberName &member) const noexcept
+    {
+        return reason_ == PrimaryChangeReason::Unverified || member != record_.primary;
+    }
     void quiesceProxies(PrimaryChangeActions &actions);
     void stopReplicas(PrimaryChangeActions &actions);
     void chooseMember(PrimaryChangeActions &actions, TimePoint now);
--- a/src/leadership/primaryfailuredetector.cpp
+++ b/src/leadership/primaryfailuredetector.cpp
@@ -16,6 +16,8 @@
         return "denied";
     case PrimaryChangeReason::Leaving:
         return "leaving";
+    case PrimaryChangeReason::Unverified:
+        return "unverified";
     case PrimaryChangeReason::Resumed:
         break;
     }
--- a/src/leadership/primaryfailuredetector.h
+++ b/src/leadership/primaryfailuredetector.h
@@ -34,6 +34,7 @@
     NotLeading, ///< It reports that it does not lead.
     Leaving, ///< It is draining.
     Resumed, ///< Another lease holder started a change and did not finish it.
+    Unverified, ///< The store lost the newest record, so it is unknown which member leads.
 };
 
 [[nodiscard]] std::string_view toText(PrimaryChangeReason reason) noexcept;
--- a/src/leadership/primarytable.cpp
+++ b/src/leadership/primarytable.cpp
@@ -7,11 +7,15 @@
 
 bool PrimaryTable::accept(const GroupRecord &record)
 {
+    if (!record.confirmed()) {
+        return false;
+    }
     auto &entry = entries_[record.group];
     if (record.revision < entry.record.revision) {
         return false;
     }
-    if (entry.record.revision < record.revision && (entry.record.generation != record.generation || record.changeInProgress)) {
+    const bool samePrimary = entry.record.generation == record.generation && entry.record.primary == record.primary;
+    if (entry.record.revision < record.revision && (!samePrimary || record.changeInProgress)) {
         // A renewal of the older record does not apply to the newer one.
         entry.validUntil = TimePoint{};
     }
--- a/src/leadership/primarytable.h
+++ b/src/leadership/primarytable.h
@@ -13,10 +13,11 @@
 ///
 /// The table is renewed by a reply that derives from the lease holder, or by a linearizable read of the store; either is valid for
 /// `primaryTableLease` from the time of the request. A record never returns to an older revision.
+/// Records that are not confirmed in the store's epoch at their revision are ignored.
 class PrimaryTable
 {
 public:
-    /// Applies one record without renewing its lease; returns false when a newer one is known.
+    /// Applies one record without renewing its lease; returns false when a newer one is known or the record is not confirmed.
     bool accept(const GroupRecord &record);
 
     /// Renews \a records, all of which were current at some time after \a requestedAt; records older than the known ones are ignored.
--- a/src/leadership/record.h
+++ b/src/leadership/record.h
@@ -26,7 +26,14 @@
     bool changeInProgress = false;
     /// Revision of the stored record; orders records from different proxies.
     Revision revision;
-
+    /// The epoch of the store in which a lease holder wrote this version.
+    StoreEpoch writtenIn;
+
+    /// False when the store may have lost a newer version, or when a write from an earlier epoch of the store was executed late.
+    [[nodiscard]] bool confirmed() const noexcept
+    {
+        return writtenIn == revision.epoch;
+    }
     [[nodiscard]] bool operator==(const GroupRecord &) const = default;
 };
 
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -54,12 +54,16 @@
 
 std::string encode(const GroupRecord &record)
 {
-    return Json{{"primary", record.primary.text()}, {"generation", record.generation}, {"moving", record.changeInProgress}}.dump();
+    return Json{{"primary", record.primary.text()},
+                {"generation", record.generation},
+                {"moving", record.changeInProgress},
+                {"epoch", record.writtenIn.value}}
+        .dump();
 }
 
-std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals)
+std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals, StoreEpoch epoch)
 {
-    return Json{{"holder", holder.text()}, {"fence", fencingToken}, {"renewals", renewals}}.dump();
+    return Json{{"holder", holder.text()}, {"fence", fencingToken}, {"renewals", renewals}, {"epoch", epoch.value}}.dump();
 }
 
 std::string encode(const ProxyEntry &entry)
@@ -80,8 +84,9 @@
         lease.holder = InstanceName{textOf(value, "holder")};
         lease.renewals = numberOf(value, "renewals");
         lease.revision = object.version;
+        lease.writtenIn = StoreEpoch{numberOf(value, "epoch")};
         const auto fencingToken = numberOf(value, "fence");
-        lease.fencingToken = fencingToken == 0 ? object.version.value : fencingToken;
+        lease.fencingToken = fencingToken == 0 ? fencingTokenOf({object.version.value, lease.writtenIn}) : fencingToken;
         return lease;
     }
     if (name.starts_with(recordPrefix)) {
@@ -91,6 +96,7 @@
         record.generation = numberOf(value, "generation");
         record.changeInProgress = value.value("moving", Json(false)) == Json(true);
         record.revision = object.version;
+        record.writtenIn = StoreEpoch{numberOf(value, "epoch")};
         return record;
     }
     if (name.starts_with(proxyPrefix)) {
--- a/src/leadership/recordjson.h
+++ b/src/leadership/recordjson.h
@@ -34,8 +34,8 @@
 [[nodiscard]] ObjectKey proxyKey(const InstanceName &instance);
 
 [[nodiscard]] std::string encode(const GroupRecord &record);
-/// Returns the lease as written by \a holder; a \a fencingToken of 0 means the revision of the write itself.
-[[nodiscard]] std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals);
+/// Returns the lease as written by \a holder in \a epoch; a \a fencingToken of 0 means that of the write itself.
+[[nodiscard]] std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals, StoreEpoch epoch);
 [[nodiscard]] std::string encode(const ProxyEntry &entry);
 
 /// A decoded object of the fleet; monostate when it cannot be decoded.
--- a/src/settings/sessionsettings.cpp
+++ b/src/settings/sessionsettings.cpp
@@ -40,6 +40,7 @@
         Milliseconds{reader.number<std::int64_t>("memberHeartbeatMs", {1, maxHeartbeatMs}, settings.memberHeartbeat.count())};
     settings.configurationDeadline =
         Milliseconds{reader.number<std::int64_t>("configurationDeadlineMs", {100, maxGraceMs}, settings.configurationDeadline.count())};
+    settings.newFleet = reader.boolean("newFleet", settings.newFleet);
     settings.logLevel = reader.oneOf<LogLevel>("logLevel", logLevels, settings.logLevel);
     return settings;
 }
--- a/src/settings/sessionsettings.h
+++ b/src/settings/sessionsettings.h
@@ -43,6 +43,8 @@
     Milliseconds memberHeartbeat{1200};
     /// Time within which an accepted configuration must be in force.
     Milliseconds configurationDeadline{3000};
+    /// The whole fleet starts for the first time, so the store has lost none of its objects.
+    bool newFleet = false;
     LogLevel logLevel = LogLevel::Info;
 
     [[nodiscard]] bool operator==(const SessionSettings &) const = default;
--- a/src/store/fwd.h
+++ b/src/store/fwd.h
@@ -3,6 +3,7 @@
 
 namespace cardamomstep {
 
+struct StoreEpoch;
 struct Revision;
 struct ObjectKey;
 struct StoredObject;
@@ -17,5 +18,6 @@
 class CallBudget;
 class Backoff;
 class WatchResume;
+class StoreEpochs;
 
 } // namespace cardamomstep
--- a/src/store/object.h
+++ b/src/store/object.h
@@ -20,16 +20,32 @@
 /// Random identifier that the writer draws for each write.
 using WriterNonce = StrongId<struct WriterNonceTag>;
 
+/// Counts how often the store came back from an older copy. 0 for a store that does not report it.
+struct StoreEpoch {
+    std::uint64_t value = 0;
+
+    [[nodiscard]] constexpr auto operator<=>(const StoreEpoch &) const noexcept = default;
+};
+
 /// A store-wide revision, which increases with each change of any object. 0 means "before all changes" or "absent".
+///
+/// A store that came back from an older copy gives out the same numbers again, so revisions are ordered by their epochs first.
 struct Revision {
     std::uint64_t value = 0;
+    /// The epoch of the reply that contained the revision.
+    StoreEpoch epoch;
 
-    [[nodiscard]] constexpr auto operator<=>(const Revision &) const noexcept = default;
+    [[nodiscard]] constexpr bool operator==(const Revision &) const noexcept = default;
+    [[nodiscard]] constexpr std::strong_ordering operator<=>(const Revision &other) const noexcept
+    {
+        const auto order = epoch <=> other.epoch;
+        return std::is_eq(order) ? value <=> other.value : order;
+    }
 };
 
 inline std::ostream &operator<<(std::ostream &out, const Revision &revision)
 {
-    return out << revision.value;
+    return revision.epoch.value == 0 ? out << revision.value : out << revision.epoch.value << '/' << revision.value;
 }
 
 /// Identifies an object by its kind and name.
--- a/src/store/watchresume.h
+++ b/src/store/watchresume.h
@@ -69,6 +69,13 @@
     /// Records a call without a usable reply.
     void onFailure(TimePoint now);
 
+    /// Makes the next call a listing, not before \a notBefore.
+    void requireListing(TimePoint notBefore) noexcept
+    {
+        relistRequired_ = true;
+        nextCallAt_ = notBefore;
+    }
+
     /// Sets the maximum wait of later watches.
     void setWatchTimeout(Milliseconds wait) noexcept
     {
--- a/tests/leadership/test_primarychange.cpp
+++ b/tests/leadership/test_primarychange.cpp
@@ -277,3 +277,37 @@
     const auto again = actionsOf<PromoteMember>(change.next(at(1300)));
     cr_assert(again.size() == 1 && again.front().member == first);
 }
+
+// The store came back from an older copy, and no lease holder remembers the newest record.
+Test(primarychange, anUnverifiedRecordIsSettledWithoutAPromotionWhereOneMemberLeads)
+{
+    PrimaryChange change({GroupName{"g"}, MemberName{"p"}, 9, true, Revision{10}}, PrimaryChangeReason::Unverified, at(0));
+    change.setMembers(threeMembers);
+    (void)change.next(at(5));
+    change.proxiesListed({InstanceName{"one"}}, at(9));
+    change.memberStatus(status("p", 30, false, 4));
+    change.memberStatus(status("r1", 31, true, 4));
+    cr_assert(actionsOf<StopReplication>(change.next(at(130))).empty());
+    change.quiesced(InstanceName{"one"}, LogPosition{Term{4, 0}, 31}, Seconds{60}, at(140));
+    change.memberStatus(status("r2", 30, false, 4));
+    (void)change.next(at(150));
+    const auto actions = change.next(at(151));
+    const auto stored = actionsOf<StoreRecord>(actions);
+    cr_assert(stored.size() == 1 && stored.front().record.primary.text() == "r1" && stored.front().record.generation == 10);
+    cr_assert(actionsOf<PromoteMember>(actions).empty());
+}
+
+Test(primarychange, anUnverifiedLeaderOfAnOlderTermIsNotKept)
+{
+    PrimaryChange change({GroupName{"g"}, MemberName{"p"}, 9, true, Revision{10}}, PrimaryChangeReason::Unverified, at(0));
+    change.setMembers(threeMembers);
+    (void)change.next(at(5));
+    change.proxiesListed({InstanceName{"one"}}, at(9));
+    change.memberStatus(status("p", 30, true, 4));
+    change.memberStatus(status("r2", 30, false, 5));
+    change.quiesced(InstanceName{"one"}, LogPosition{Term{4, 0}, 29}, Seconds{60}, at(140));
+    cr_assert(actionsOf<StoreRecord>(change.next(at(150))).empty(), "r1 was promoted to term 5, which only r2 shows");
+    const auto stops = actionsOf<StopReplication>(change.next(at(1050)));
+    cr_assert(stops.size() == 2, "the recorded primary is a candidate like the others");
+    cr_assert(stops.front().term == 6);
+}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -185,6 +185,17 @@
     await world.store.forget_history()
 
 
+async def store_returns_from_older_copy(world):
+    """Makes the store unavailable for a moment; it comes back from a copy some seconds old, in a new epoch."""
+    away_s, age_s = world.random.uniform(0.2, 2.0), world.random.uniform(0.5, 8.0)
+    world.record_disturbance(away_s + 1.0)
+    world.store.outage = Outage.RESET
+    await world.store.interrupt()
+    await asyncio.sleep(away_s)
+    await world.store.return_to_copy(age_s)
+    world.store.outage = Outage.NONE
+
+
 # Members
 
 
@@ -289,6 +300,8 @@
     store_loses_answers,
     store_slow,
     store_drops_history,
+    store_returns_from_older_copy,
+    store_returns_from_older_copy,
     member_crash,
     member_crash,
     replicas_lag,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -41,7 +41,7 @@
     def port(self, listener):
         return FIRST_PORT + self.index * PORTS_PER_PROXY + LISTENERS.index(listener)
 
-    def write_settings(self, store_port, promotions_port):
+    def write_settings(self, store_port, promotions_port, new_fleet):
         settings = {
             "instance": self.name,
             "failureDomain": self.zone,
@@ -51,6 +51,7 @@
             "stopGraceMs": int(STOP_GRACE_S * 1000),
             "memberHeartbeatMs": 1200,
             "configurationDeadlineMs": 3000,
+            "newFleet": new_fleet,
         }
         with open(self.settings_file, "w", encoding="utf-8") as file:
             json.dump(settings, file)
@@ -72,7 +73,7 @@
             proxy.relays["store"] = store
             promotions = await Relay("promotions", promotions_port).start()
             proxy.relays["promotions"] = promotions
-            proxy.write_settings(store.port, promotions.port)
+            proxy.write_settings(store.port, promotions.port, new_fleet=True)
             self._start_process(proxy)
 
     async def relay_members(self, ports):
@@ -161,6 +162,7 @@
         self.down_until[proxy.name] = self.clock() + down_s
         await asyncio.sleep(down_s)
         if not proxy.process.is_running():
+            proxy.write_settings(proxy.relays["store"].port, proxy.relays["promotions"].port, new_fleet=False)
             self._start_process(proxy)
         self.down_until.pop(proxy.name, None)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -136,7 +136,7 @@
                 if reply.body is None or request.method != "GET":
                     return reply
                 body = json.loads(fleet.translate(proxy, json.dumps(reply.body)))
-                return Response(reply.status, body)
+                return Response(reply.status, body, headers=reply.headers)
 
             server = await serve(handle, 0)
             ports[proxy.name] = server.sockets[0].getsockname()[1]
