--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -5,6 +5,7 @@
 #include "http/address.h"
 #include "json/document.h"
 #include "json/reader.h"
+#include "json/untrusted.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -192,7 +193,7 @@
     if (!result.response) {
         return std::vector<Error>{failureOf(request, result.failure)};
     }
-    auto body = Json::parse(result.response->body, nullptr, false);
+    auto body = json::parseUntrusted(result.response->body);
     if (!body.is_object()) {
         Error error{ErrorKind::CorruptAnswer, "the proxy's answer is not JSON (status " + std::to_string(result.response->status) + ")"};
         error.ran = isRead(request) ? Ran::No : Ran::Unknown;
--- a/src/cli/impl/follow.cpp
+++ b/src/cli/impl/follow.cpp
@@ -4,6 +4,7 @@
 #include "cli/exitcode.h"
 #include "cli/impl/commands.h"
 #include "cli/impl/output.h"
+#include "json/untrusted.h"
 
 #include <chrono>
 #include <cstdint>
@@ -66,7 +67,7 @@
     if (!result.response) {
         return std::vector<Error>{Error{ErrorKind::EndpointUnreachable, address.text() + ": " + result.failure.description}};
     }
-    auto status = Json::parse(result.response->body, nullptr, false);
+    auto status = json::parseUntrusted(result.response->body);
     if (result.response->status != 200 || !status.is_object()) {
         return std::vector<Error>{Error{ErrorKind::EndpointUnreachable, address.text() + " is not the metrics address of a session proxy"}};
     }
--- a/src/entry/callercodec.cpp
+++ b/src/entry/callercodec.cpp
@@ -2,6 +2,7 @@
 #include "entry/callercodec.h"
 
 #include "json/reader.h"
+#include "json/untrusted.h"
 
 #include <algorithm>
 #include <array>
@@ -89,7 +90,7 @@
 
 Result<Json> readBody(const http::Request &request)
 {
-    auto body = Json::parse(request.body, nullptr, false);
+    auto body = json::parseUntrusted(request.body);
     if (!body.is_object()) {
         return malformed("the body is not a JSON object");
     }
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -1,6 +1,8 @@
 // Names and JSON fields of the fleet's objects in the store.
 #include "leadership/recordjson.h"
 
+#include "json/untrusted.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cardamomstep::leadership {
@@ -74,7 +76,7 @@
 
 FleetObject decodeFleetObject(const StoredObject &object)
 {
-    const auto value = Json::parse(object.value, nullptr, false);
+    const auto value = json::parseUntrusted(object.value);
     const std::string_view name = object.name.text();
     if (value.is_discarded() || !value.is_object()) {
         return std::monostate{};
--- a/src/members/impl/membercodec.cpp
+++ b/src/members/impl/membercodec.cpp
@@ -1,6 +1,8 @@
 // JSON encoding of the members' messages.
 #include "members/impl/membercodec.h"
 
+#include "json/untrusted.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -80,7 +82,7 @@
 /// Parses \a body as an object; returns a discarded value if it is anything else.
 Json parseObject(const std::string &body)
 {
-    auto value = Json::parse(body, nullptr, false);
+    auto value = json::parseUntrusted(body);
     return value.is_object() ? value : Json(Json::value_t::discarded);
 }
 
@@ -129,7 +131,7 @@
         {"requestId", call.requestId.text()},
         {"fingerprint", std::to_string(call.fingerprint)},
     };
-    auto arguments = Json::parse(call.arguments, nullptr, false);
+    auto arguments = json::parseUntrusted(call.arguments);
     object["arguments"] = arguments.is_discarded() ? Json::object() : std::move(arguments);
     if (!call.transaction.empty()) {
         object["transaction"] = call.transaction;
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace cardamomstep {
@@ -471,10 +472,17 @@
         return;
     }
     const auto instance = target->update->instance;
-    for (std::size_t requested = 0; requested < options_.indirectPings; ++requested) {
-        if (const auto *via = randomNotDead(probe.target)) {
-            actions.push_back(SendIndirectPing{id, via->update->instance, instance, messageTo(find(probe.target))});
+    std::set<InstanceName> requested;
+    while (requested.size() < options_.indirectPings) {
+        const auto *via = randomProxy([&](const KnownProxy &proxy) {
+            const auto &name = proxy.update->instance.name;
+            return proxy.update->state != ProxyState::Dead && name != probe.target && !requested.contains(name);
+        });
+        if (via == nullptr) {
+            return;
         }
+        requested.insert(via->update->instance.name);
+        actions.push_back(SendIndirectPing{id, via->update->instance, instance, messageTo(find(probe.target))});
     }
 }
 
--- a/src/operators/answers.cpp
+++ b/src/operators/answers.cpp
@@ -2,6 +2,7 @@
 #include "operators/answers.h"
 
 #include "operators/route.h"
+#include "json/untrusted.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,7 +29,7 @@
 
 Json parseJson(const std::string &text)
 {
-    return Json::parse(text, nullptr, false);
+    return json::parseUntrusted(text);
 }
 
 Json toJson(const FieldChange &change)
--- a/src/store/impl/storejson.cpp
+++ b/src/store/impl/storejson.cpp
@@ -1,6 +1,8 @@
 // Parses and checks the store's JSON replies.
 #include "store/impl/storejson.h"
 
+#include "json/untrusted.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -82,12 +84,12 @@
 
 std::optional<Revision> parseVersion(std::string_view body)
 {
-    return revisionIn(Json::parse(body, nullptr, false), "version");
+    return revisionIn(json::parseUntrusted(body), "version");
 }
 
 Result<StoredObject> parseObject(std::string_view body)
 {
-    auto object = objectIn(Json::parse(body, nullptr, false));
+    auto object = objectIn(json::parseUntrusted(body));
     if (!object) {
         return malformed("an object was expected");
     }
@@ -96,7 +98,7 @@
 
 Result<StoreListing> parseListing(std::string_view body)
 {
-    const auto json = Json::parse(body, nullptr, false);
+    const auto json = json::parseUntrusted(body);
     const auto revision = revisionIn(json, "revision");
     StoreListing listing;
     if (!revision || !readObjects(json, "objects", listing.objects)) {
@@ -108,7 +110,7 @@
 
 Result<StoreChanges> parseChanges(std::string_view body, Revision after)
 {
-    const auto json = Json::parse(body, nullptr, false);
+    const auto json = json::parseUntrusted(body);
     const auto revision = revisionIn(json, "revision");
     StoreChanges changes;
     if (!revision || !readObjects(json, "events", changes.changes)) {
@@ -121,7 +123,7 @@
 
 Result<std::vector<ListedInstance>> parseInstances(std::string_view body)
 {
-    const auto json = Json::parse(body, nullptr, false);
+    const auto json = json::parseUntrusted(body);
     if (!json.is_object() || !json.contains("instances") || !json["instances"].is_array()) {
         return malformed("an instance list was expected");
     }
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -1,6 +1,8 @@
 // Reads and writes the writer stamp inside JSON values.
 #include "store/writer.h"
 
+#include "json/untrusted.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cardamomstep {
@@ -50,12 +52,12 @@
 
 WriterStamp readWriterStamp(std::string_view value)
 {
-    return stampOf(Json::parse(value, nullptr, false));
+    return stampOf(json::parseUntrusted(value));
 }
 
 Result<std::string> withWriterStamp(std::string_view value, const WriterNonce &nonce, const StoredObject *replaced)
 {
-    auto json = Json::parse(value, nullptr, false);
+    auto json = json::parseUntrusted(value);
     if (!json.is_object()) {
         return Error{ErrorKind::InvalidRecord, "the value is not a JSON object"};
     }
--- a/tests/membership/test_view.cpp
+++ b/tests/membership/test_view.cpp
@@ -289,6 +289,29 @@
     cr_assert(fleet.views[3]->generation() == generation);
 }
 
+Test(view, indirectPingsOfOneProbeGoThroughDifferentProxies)
+{
+    SimulatedFleet fleet{7, 3};
+    fleet.run(Seconds{5});
+    fleet.up[4] = false;
+    auto &view = *fleet.views[0];
+    std::size_t probes = 0;
+    for (int step = 0; step < 400; ++step) {
+        fleet.now += Milliseconds{50};
+        std::vector<InstanceName> via;
+        for (const auto &action : view.tick(fleet.now)) {
+            if (const auto *indirect = std::get_if<SendIndirectPing>(&action)) {
+                via.push_back(indirect->via);
+            }
+        }
+        const std::set<InstanceName> distinct(via.begin(), via.end());
+        probes += via.empty() ? 0 : 1;
+        // Two probes may be due in one step, three proxies for each.
+        cr_assert(distinct.size() >= std::min<std::size_t>(via.size(), 3), "%zu of %zu", distinct.size(), via.size());
+    }
+    cr_assert(probes > 0);
+}
+
 Test(view, suspicionAfterABriefPauseIsRefuted)
 {
     SimulatedFleet fleet{7, 3};
