A cleared suspicion names the suspected member

Cause: a promotion by another owner ended a suspicion, and SuspicionCleared was recorded for the new primary, which nobody had suspected. Ruled out: a missing event. The suspicion was recorded; only its end named another member.

--- a/src/groups/action.h
+++ b/src/groups/action.h
@@ -100,7 +100,7 @@
 enum class AuditEventKind : std::uint8_t {
     PrimarySuspected, ///< `member` is suspected; `reason` says why.
     SuspicionOverruled, ///< Other owners have contact with the primary.
-    SuspicionCleared, ///< The reason for the suspicion no longer applies; `member` is the current primary.
+    SuspicionCleared, ///< The reason for the suspicion no longer applies; `member` was suspected.
     PrimaryLost, ///< `member` is no longer primary.
     PromotionStarted, ///< An attempt at `term` started.
     PromotionAbandoned, ///< The attempt at `term` ended without a primary.
--- a/src/groups/monitor.h
+++ b/src/groups/monitor.h
@@ -105,6 +105,9 @@
     struct PromotionTrigger {
         PromotionReason reason = PromotionReason::NoPrimary;
         TimePoint since;
+        /// The primary that is suspected, and its term; empty when there was none.
+        MemberName suspect;
+        Term suspectTerm;
     };
 
     // Inputs, in monitor.cpp
--- a/src/groups/monitortrigger.cpp
+++ b/src/groups/monitortrigger.cpp
@@ -42,11 +42,13 @@
     if (primary_) {
         recordEvent(AuditEventKind::PrimarySuspected, primary_->member, primary_->term, reason);
     }
+    const auto suspect = primary_ ? primary_->member : MemberName{};
+    const auto suspectTerm = primary_ ? primary_->term : Term{};
     if (trigger_) {
-        trigger_->reason = reason;
+        *trigger_ = PromotionTrigger{reason, trigger_->since, suspect, suspectTerm};
         return;
     }
-    trigger_ = PromotionTrigger{reason, now};
+    trigger_ = PromotionTrigger{reason, now, suspect, suspectTerm};
     attemptAllowedAt_ = now + rankDelay();
     if (reason == PromotionReason::TermRepair) {
         attemptAllowedAt_ += policy_.attemptTimeout;
@@ -55,8 +57,8 @@
 
 void GroupMonitor::clearTrigger()
 {
-    if (trigger_ && primary_ && trigger_->reason != PromotionReason::NoPrimary) {
-        recordEvent(AuditEventKind::SuspicionCleared, primary_->member, primary_->term, trigger_->reason);
+    if (trigger_ && !trigger_->suspect.empty() && trigger_->reason != PromotionReason::NoPrimary) {
+        recordEvent(AuditEventKind::SuspicionCleared, trigger_->suspect, trigger_->suspectTerm, trigger_->reason);
     }
     trigger_.reset();
 }
--- a/tests/groups/test_monitor.cpp
+++ b/tests/groups/test_monitor.cpp
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 using namespace cardamomstep;
 using namespace cardamomstep::testing;
@@ -160,6 +162,34 @@
     cr_assert_eq(cluster.promotions(), 1);
 }
 
+// A promotion by another owner ended a suspicion, and the event named the new primary, which nobody had suspected.
+Test(groups, aClearedSuspicionNamesTheMemberThatWasSuspected)
+{
+    std::size_t cleared = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ClusterOptions options;
+        options.seed = seed;
+        options.ranks = {0, 1, 2};
+        Cluster cluster{options};
+        start(cluster);
+        cluster.freeze(cluster.primary());
+        cluster.run(Milliseconds{3000});
+        std::set<std::pair<MemberName, Term>> suspected;
+        for (const auto &[when, action] : cluster.events) {
+            const auto *event = std::get_if<AuditEvent>(&action);
+            if (event != nullptr && event->kind == AuditEventKind::PrimarySuspected) {
+                suspected.emplace(event->member, event->term);
+            }
+            if (event != nullptr && event->kind == AuditEventKind::SuspicionCleared) {
+                ++cleared;
+                const bool known = suspected.contains({event->member, event->term});
+                cr_assert(known, "seed %u: %s", static_cast<unsigned>(seed), event->member.text().c_str());
+            }
+        }
+    }
+    cr_assert(cleared > 0);
+}
+
 Test(groups, ownersThatDisagreeOnRanksConverge)
 {
     const std::vector<std::vector<unsigned>> rankings{{0, 0}, {0, 0, 0}, {1, 2}, {2, 2, 2}, {0}};
--- a/tests/membership/test_view.cpp
+++ b/tests/membership/test_view.cpp
@@ -301,7 +301,7 @@
         std::vector<InstanceName> via;
         for (const auto &action : view.tick(fleet.now)) {
             if (const auto *indirect = std::get_if<SendIndirectPing>(&action)) {
-                via.push_back(indirect->via);
+                via.push_back(indirect->via.name);
             }
         }
         const std::set<InstanceName> distinct(via.begin(), via.end());
