A lease is returned only at a known revision

Cause (read in the diff): in a new epoch, before the stored lease was read again, a leaving holder knew no revision of it, and a replacement without one is unconditional: it would have replaced any holder's lease. A listing of the records that ended after the lease had lapsed kept a later acquisition with the same token from listing them. Change: no return without a revision, or of a write from an earlier epoch; the listing in progress is forgotten when the lease lapses or is acquired.

--- a/src/gateway/leasemanager.h
+++ b/src/gateway/leasemanager.h
@@ -179,7 +179,11 @@
         context_.readStore.list(
             leadership::fleetKind(), context_.limits.storeTimeout, [this, fencingToken](const Result<StoreListing> &listing) {
                 const auto now = evloop::bootTimeNow();
-                if (!context_.lease.holds(now) || context_.lease.fencingToken() != fencingToken) {
+                if (context_.lease.fencingToken() != fencingToken) {
+                    return;
+                }
+                if (!context_.lease.holds(now)) {
+                    readingRecordsFor_ = 0;
                     return;
                 }
                 if (!listing) {
@@ -192,9 +196,13 @@
             });
     }
 
-    /// Writes to the store that the lease with \a fencingToken, stored at \a revision, has no holder.
+    /// Writes to the store that the lease with \a fencingToken, stored at \a revision, has no holder; does nothing when the revision is
+    /// not known, since the write would then replace any lease.
     void returnLease(Revision revision, std::uint64_t fencingToken)
     {
+        if (revision.value == 0) {
+            return;
+        }
         const auto value = leadership::encodeLease(InstanceName{}, fencingToken, 0, revision.epoch);
         context_.store.replace(leadership::leaseKey(), revision, value, context_.limits.storeTimeout, [](const Result<StoredObject> &) {});
     }
@@ -205,7 +213,7 @@
     {
         const auto token = write.fencingToken == 0 ? leadership::fencingTokenOf(revision) : write.fencingToken;
         context_.host.log(LogLevel::Info, "lease_write_superseded", {{"fence", static_cast<std::int64_t>(token)}});
-        if (leaving_) {
+        if (leaving_ && write.epoch == revision.epoch) {
             relinquishedToken_ = token;
             returnLease(revision, token);
         }
@@ -215,6 +223,7 @@
     {
         context_.host.log(LogLevel::Info, "lease_taken", {{"fence", static_cast<std::int64_t>(context_.lease.fencingToken())}});
         recordsCurrent_ = false;
+        readingRecordsFor_ = 0;
         handlers_.acquired();
         readRecords();
     }
