--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -1,6 +1,8 @@
 // Names and JSON fields of the fleet's objects in the store.
 #include "leadership/recordjson.h"
 
+#include "json/untrusted.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cardamomstep::leadership {
@@ -54,12 +56,16 @@
 
 std::string encode(const GroupRecord &record)
 {
-    return Json{{"primary", record.primary.text()}, {"generation", record.generation}, {"moving", record.changeInProgress}}.dump();
+    return Json{{"primary", record.primary.text()},
+                {"generation", record.generation},
+                {"moving", record.changeInProgress},
+                {"epoch", record.writtenIn.value}}
+        .dump();
 }
 
-std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals)
+std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals, StoreEpoch epoch)
 {
-    return Json{{"holder", holder.text()}, {"fence", fencingToken}, {"renewals", renewals}}.dump();
+    return Json{{"holder", holder.text()}, {"fence", fencingToken}, {"renewals", renewals}, {"epoch", epoch.value}}.dump();
 }
 
 std::string encode(const ProxyEntry &entry)
@@ -70,7 +76,7 @@
 
 FleetObject decodeFleetObject(const StoredObject &object)
 {
-    const auto value = Json::parse(object.value, nullptr, false);
+    const auto value = json::parseUntrusted(object.value);
     const std::string_view name = object.name.text();
     if (value.is_discarded() || !value.is_object()) {
         return std::monostate{};
@@ -80,8 +86,9 @@
         lease.holder = InstanceName{textOf(value, "holder")};
         lease.renewals = numberOf(value, "renewals");
         lease.revision = object.version;
+        lease.writtenIn = StoreEpoch{numberOf(value, "epoch")};
         const auto fencingToken = numberOf(value, "fence");
-        lease.fencingToken = fencingToken == 0 ? object.version.value : fencingToken;
+        lease.fencingToken = fencingToken == 0 ? fencingTokenOf({object.version.value, lease.writtenIn}) : fencingToken;
         return lease;
     }
     if (name.starts_with(recordPrefix)) {
@@ -91,6 +98,7 @@
         record.generation = numberOf(value, "generation");
         record.changeInProgress = value.value("moving", Json(false)) == Json(true);
         record.revision = object.version;
+        record.writtenIn = StoreEpoch{numberOf(value, "epoch")};
         return record;
     }
     if (name.starts_with(proxyPrefix)) {
