Sessions forwarded during a stop end before the process does

A stopping process still accepts sessions for 2.5 s and forwards them, but only the sessions that were forwarded at the moment of the signal were told to end; a session that came later, or whose forwarding was being set up, lived until the process ended at 90 % of the grace. Transactions of forwarded sessions had no limit either; those served locally end at half of the grace. Ruled out: the local sessions' draining, which closes idle sessions after 400 ms and refuses late transactions.

While stopping, every session is told to end once idle, also one accepted later; after a session is accepted by the other proxy its first statement is waited for up to 400 ms, as after its setup. A forwarded transaction ends at half of the grace; a statement in flight is answered first.

--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -1,11 +1,13 @@
 // One caller's connection: parses lines into statements and sends the answers.
 #pragma once
 
+#include "evloop/clock.h"
 #include "evloop/lineconnection.h"
 #include "gateway/forwardtarget.h"
 #include "relay/forwardedsession.h"
 #include "relay/wire.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,6 +43,7 @@
     CallerConnection(boost::asio::io_context &loop, boost::asio::ip::tcp::socket socket, CallerConnectionHandlers handlers)
         : loop_(loop)
         , timer_(loop)
+        , deadlineTimer_(loop)
         , connection_(std::make_shared<evloop::LineConnection>(std::move(socket), evloop::LineLimits{Wire::maxMessage}))
         , handlers_(std::move(handlers))
     {
@@ -84,14 +87,14 @@
         return upstream_ != nullptr;
     }
 
-    /// Makes a forwarded session end as soon as it is idle.
+    /// Makes the session end as soon as it is idle, if it is forwarded now or later.
     ///
-    /// Returns true when it is idle already; the session is not ended then, and close() has to be called. After a statement that only
-    /// sets the session up, the session stays open for up to `setupIdleTimeout`.
+    /// Returns true when it is forwarded and idle already; the session is not ended then, and close() has to be called. While its first
+    /// statement, or the one after its setup, is expected, the session stays open for up to `setupIdleTimeout`.
     [[nodiscard]] bool endWhenIdle()
     {
         endsWhenIdle_ = true;
-        const bool isIdle = !replyPending_ && state_ == relay::SessionState::Idle;
+        const bool isIdle = forwarded() && !replyPending_ && state_ == relay::SessionState::Idle;
         if (isIdle && inSetup_) {
             startSetupIdleTimer();
             return false;
@@ -99,6 +102,17 @@
         return isIdle;
     }
 
+    /// Ends the session at \a deadline if it is forwarded then, also within a transaction; a statement in flight is answered first.
+    void endBy(TimePoint deadline)
+    {
+        deadlineTimer_.expires_after(std::max(deadline - evloop::bootTimeNow(), Microseconds{0}));
+        deadlineTimer_.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error && self->forwarded()) {
+                self->onDeadline();
+            }
+        });
+    }
+
 private:
     /// Timeout for connecting to another proxy.
     static constexpr Milliseconds forwardConnectTimeout{300};
@@ -220,11 +234,14 @@
         }
         if (std::exchange(sessionAccepted_, true)) {
             session_->onAnswer(std::exchange(replySucceeded_, false), ready->state, ready->position);
+        } else {
+            // The first statement is expected next, as after the session's setup.
+            inSetup_ = true;
         }
         replyPending_ = false;
         state_ = ready->state;
         timer_.cancel();
-        if (endsWhenIdle_ && state_ == relay::SessionState::Idle && !inSetup_) {
+        if (deadlinePassed_ || (endsWhenIdle_ && state_ == relay::SessionState::Idle && !inSetup_)) {
             finish();
             return;
         }
@@ -234,6 +251,14 @@
         connection_->resume();
     }
 
+    void onDeadline()
+    {
+        deadlinePassed_ = true;
+        if (!replyPending_) {
+            finish();
+        }
+    }
+
     /// Ends the session unless the statement after the setup arrives within `setupIdleTimeout`.
     void startSetupIdleTimer()
     {
@@ -301,6 +326,7 @@
     void dropUpstream()
     {
         timer_.cancel();
+        deadlineTimer_.cancel();
         if (upstream_) {
             std::exchange(upstream_, nullptr)->abort();
         }
@@ -343,6 +369,8 @@
 
     boost::asio::io_context &loop_;
     boost::asio::steady_timer timer_;
+    /// Fires at the deadline that endBy() set.
+    boost::asio::steady_timer deadlineTimer_;
     std::shared_ptr<evloop::LineConnection> connection_;
     /// Empty once the connection has ended or close() was called.
     CallerConnectionHandlers handlers_;
@@ -364,6 +392,8 @@
     /// The last statement only set the session up; the statement that needs it is expected next.
     bool inSetup_ = false;
     bool endsWhenIdle_ = false;
+    /// The deadline of endBy() has passed.
+    bool deadlinePassed_ = false;
 };
 
 } // namespace cardamomstep::gateway
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -118,8 +118,9 @@
         stoppingSince_ = now;
         log(LogLevel::Info, "stop", {{"sessions", static_cast<std::int64_t>(engine_.callers())}});
         leadership_.leave();
+        transactionsUntil_ = now + settings_.stopGrace / 2;
         endForwarded();
-        engine_.drain(now + settings_.stopGrace / 2, now);
+        engine_.drain(transactionsUntil_, now);
         perform();
         checkStopped();
     }
@@ -243,6 +244,10 @@
         };
         const auto caller = std::make_shared<Caller>(loop_, std::move(socket), std::move(handlers));
         callers_.emplace(key, caller);
+        if (engine_.draining()) {
+            (void)caller->endWhenIdle();
+            caller->endBy(transactionsUntil_);
+        }
         caller->start();
     }
 
@@ -387,12 +392,13 @@
         log(action.level, action.event, action.fields);
     }
 
-    /// Ends the forwarded sessions, each as soon as it is idle.
+    /// Ends the forwarded sessions, each as soon as it is idle, and those in a transaction at transactionsUntil_.
     void endForwarded()
     {
         std::vector<std::shared_ptr<Caller>> idle;
         for (auto caller = callers_.begin(); caller != callers_.end();) {
-            if (caller->second->forwarded() && caller->second->endWhenIdle()) {
+            caller->second->endBy(transactionsUntil_);
+            if (caller->second->endWhenIdle()) {
                 idle.push_back(caller->second);
                 caller = callers_.erase(caller);
             } else {
@@ -489,6 +495,8 @@
     /// When wakeTimer_ fires; std::nullopt while it is not set.
     std::optional<TimePoint> wakeAt_;
     std::optional<TimePoint> stoppingSince_;
+    /// While stopping, when transactions are ended.
+    TimePoint transactionsUntil_;
     /// True while actions are performed; further actions that result from them are performed by the same call.
     bool performing_ = false;
 };
--- a/tests/platform/test_callerconnection.cpp
+++ b/tests/platform/test_callerconnection.cpp
@@ -1,4 +1,5 @@
 // Tests of sessions that are forwarded to another proxy, over loopback sockets.
+#include "evloop/clock.h"
 #include "gateway/callerconnection.h"
 #include "platform/lineprotocol.h"
 
@@ -81,6 +82,15 @@
         return line;
     }
 
+    /// Everything that the caller receives until its connection is closed.
+    std::string readToEnd()
+    {
+        std::string text;
+        boost::system::error_code end;
+        asio::read(caller, asio::dynamic_buffer(text), end);
+        return text;
+    }
+
     asio::io_context loop;
     tcp::acceptor callers;
     tcp::acceptor proxy;
@@ -222,3 +232,38 @@
     forwarding.runLoop();
     cr_assert(Forwarding::readLine(forwarding.upstream) == "QUERY r1 READ a\r\n");
 }
+
+// LOST on convenio-cantabrico-large trouble-3: a session that was forwarded after the request to stop was never told to end, and its
+// statement was cut when the process ended.
+Test(platform, endsASessionThatIsForwardedDuringAStopAfterItsFirstStatement)
+{
+    Forwarding forwarding;
+    (void)forwarding.connection->endWhenIdle();
+    forwarding.open();
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY r1 READ a\r\n")));
+    forwarding.runLoop();
+    cr_assert(Forwarding::readLine(forwarding.upstream) == "QUERY r1 READ a\r\n", "the first statement is still forwarded");
+    asio::write(forwarding.upstream, asio::buffer(std::string("COMPLETE 1.2\r\nREADY I -\r\n")));
+    forwarding.runLoop();
+    cr_assert(forwarding.readToEnd() == "COMPLETE 1.2\r\nREADY I -\r\n");
+}
+
+Test(platform, endsAForwardedTransactionAtTheDeadlineOfAStop)
+{
+    Forwarding forwarding;
+    forwarding.open();
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY b1 BEGIN\r\n")));
+    forwarding.runLoop();
+    (void)Forwarding::readLine(forwarding.upstream);
+    asio::write(forwarding.upstream, asio::buffer(std::string("COMPLETE -\r\nREADY T -\r\n")));
+    forwarding.runLoop();
+    cr_assert(!forwarding.connection->endWhenIdle(), "a transaction is open");
+    forwarding.connection->endBy(evloop::bootTimeNow() + Milliseconds{70});
+    forwarding.runLoop();
+    asio::write(forwarding.caller, asio::buffer(std::string("QUERY r1 READ a\r\n")));
+    forwarding.runLoop();
+    cr_assert(Forwarding::readLine(forwarding.upstream) == "QUERY r1 READ a\r\n");
+    asio::write(forwarding.upstream, asio::buffer(std::string("COMPLETE 1.2\r\nREADY T -\r\n")));
+    forwarding.runLoop();
+    cr_assert(forwarding.readToEnd().ends_with("COMPLETE 1.2\r\nREADY T -\r\n"), "a statement in flight is answered first");
+}
