--- a/src/gateway/leadershipservice.h
+++ b/src/gateway/leadershipservice.h
@@ -11,6 +11,7 @@
 #include "gateway/primarytablesync.h"
 #include "gateway/proxymetrics.h"
 #include "gateway/proxyregistry.h"
+#include "gateway/recordwriter.h"
 #include "gateway/storewatcher.h"
 #include "leadership/recordjson.h"
 
@@ -50,6 +51,7 @@
                          [this] {
                              onLeaseLost();
                          }})
+        , recordWriter_(context_, leaseManager_)
         , primaryTableSync_(context_, leaseManager_, registry_, {[this](const fleet::RenewRequest &request, TimePoint now) {
                                 monitor_.onObservations(request, now);
                             }})
@@ -89,13 +91,7 @@
         const auto now = evloop::bootTimeNow();
         const bool held = context_.lease.holds(now);
         context_.lease.onStoreEpoch(change, now);
-        std::vector<GroupName> remembered;
-        if (held && leaseManager_.recordsCurrent()) {
-            for (const auto &record : context_.recordRecovery.trustedRecords(context_.primaryTable)) {
-                remembered.push_back(record.group);
-            }
-        }
-        context_.recordRecovery.onStoreEpoch(change.epoch, remembered);
+        const auto remembered = recordWriter_.onStoreEpoch(change.epoch, held);
         if (held) {
             context_.grantEpoch.onStoreEpoch(change.epoch, now);
         }
@@ -109,7 +105,7 @@
                           "store_epoch_rose",
                           {{"epoch", static_cast<std::int64_t>(change.epoch.value)},
                            {"lease_held", static_cast<std::int64_t>(held ? 1 : 0)},
-                           {"records_to_confirm", static_cast<std::int64_t>(remembered.size())}});
+                           {"records_to_confirm", static_cast<std::int64_t>(remembered)}});
     }
 
     /// True while the primary table is valid and for 500 ms more; for the readiness check.
@@ -347,7 +343,7 @@
         const auto &primaryTable = context_.primaryTable;
         primaryTableSync_.renewAsLeaseHolder(now);
         primaryTableChanged(now);
-        writeRecords(now);
+        recordWriter_.writeAgain(now);
         // True once all primary tables that an earlier lease holder granted, or that a removed proxy still used, have expired.
         const bool tablesExpired = now - std::max(lease.acquiredAt(), registry_.removedAt()) >= leadership::primaryTableLease;
         const bool mayChange =
@@ -355,7 +351,7 @@
         for (const auto &[group, config] : context_.host.engine.routes().groups()) {
             const auto *record = primaryTable.find(group);
             if (record == nullptr) {
-                bootstrap(group, now);
+                recordWriter_.createFirst(group, now);
                 continue;
             }
             monitor_.check(*record, now);
@@ -368,78 +364,10 @@
         registry_.removeExpired(now);
     }
 
-    /// Writes the records again that the store lost when it came back from an older copy.
-    void writeRecords(TimePoint now)
-    {
-        for (const auto &record : context_.recordRecovery.next(context_.primaryTable, now)) {
-            const auto done = [this, record](const Result<StoredObject> &stored) {
-                if (!stored) {
-                    context_.recordRecovery.failed(record.group, evloop::bootTimeNow());
-                    leaseManager_.readRecords();
-                    return;
-                }
-                context_.recordRecovery.written(record.group);
-                applyObject(*stored, evloop::bootTimeNow());
-            };
-            context_.host.log(LogLevel::Warning,
-                              "record_written_again",
-                              {{"group", record.group.text()},
-                               {"primary", record.primary.text()},
-                               {"generation", static_cast<std::int64_t>(record.generation)},
-                               {"verified", static_cast<std::int64_t>(context_.recordRecovery.unverified(record.group) ? 0 : 1)}});
-            const auto key = leadership::recordKey(record.group);
-            if (record.revision.value == 0) {
-                context_.store.create(key, leadership::encode(record), context_.limits.storeTimeout, done);
-            } else {
-                context_.store.replace(key, record.revision, leadership::encode(record), context_.limits.storeTimeout, done);
-            }
-        }
-    }
-
-    /// Creates the first record of a group, in which no member was ever promoted before.
-    ///
-    /// The primary is the one member that registered as primary; while none or several did, nothing is created.
-    void bootstrap(const GroupName &group, TimePoint now)
-    {
-        auto &triedAt = bootstrapTriedAt_[group];
-        if (now - triedAt < context_.limits.controlTimeout) {
-            return;
-        }
-        std::vector<MemberName> claimants;
-        for (const auto &member : context_.host.directory.membersOf(group)) {
-            if (member.claimsPrimary) {
-                claimants.push_back(member.name);
-            }
-        }
-        if (claimants.size() != 1) {
-            return;
-        }
-        triedAt = now;
-        leadership::GroupRecord record;
-        record.group = group;
-        record.primary = claimants.front();
-        record.writtenIn = context_.epochs->newest();
-        record.generation = leadership::firstGenerationOf(record.writtenIn);
-        const bool neverRecorded = record.writtenIn == StoreEpoch{} || (context_.settings.newFleet && !context_.epochs->risen());
-        if (!neverRecorded) {
-            // The store may have lost the record of a promotion, so a primary change has to find out which member leads.
-            record.changeInProgress = true;
-            context_.recordRecovery.setUnverified(group);
-        }
-        const auto done = [this](const Result<StoredObject> &created) {
-            if (created) {
-                applyObject(*created, evloop::bootTimeNow());
-            } else {
-                // The record may exist although the reply was lost.
-                leaseManager_.readRecords();
-            }
-        };
-        context_.store.create(leadership::recordKey(group), leadership::encode(record), context_.limits.storeTimeout, done);
-    }
-
     LeadershipContext<Store> context_;
     ProxyRegistry<Store> registry_;
     LeaseManager<Store> leaseManager_;
+    RecordWriter<Store> recordWriter_;
     PrimaryTableSync<Store> primaryTableSync_;
     MemberControlConnections<Wire, Store> controlConnections_;
     PrimaryMonitor<Wire, Store> monitor_;
@@ -450,7 +378,6 @@
     std::shared_ptr<StoreWatcher<Store>> storeWatcher_;
     /// The cached primary of each group that was last passed to the engine.
     std::map<GroupName, relay::CachedPrimary> lastPublished_;
-    std::map<GroupName, TimePoint> bootstrapTriedAt_;
     /// The fleet was listed at least once.
     bool fleetListed_ = false;
     bool leaving_ = false;
--- a/tests/leadership/tablemodel.h
+++ b/tests/leadership/tablemodel.h
@@ -1,6 +1,8 @@
 // A model of one group's record, the proxies' entries and their primary tables, on a store that may return to an older copy.
 #pragma once
 
+#include "tableevent.h"
+
 #include "leadership/fleetlease.h"
 #include "leadership/grantepoch.h"
 #include "leadership/primarytable.h"
@@ -18,50 +20,6 @@
 
 namespace cardamomstep::leadership::test {
 
-/// What can happen next.
-enum class TableEventKind : std::uint8_t {
-    ContendForLease, ///< Reads the lease, writes it if that is due, and gets the reply.
-    List, ///< Lists the fleet's objects, and renews the primary table from them.
-    Register, ///< Writes its own entry if the store is not known to contain it.
-    RenewFromHolder, ///< Renews its table from the lease holder.
-    RenewFromPeer, ///< Renews its table from the proxy with the next number.
-    HolderDuties, ///< Does what the lease holder does regularly.
-    StartChange, ///< Records a primary change and lists the proxies to quiesce.
-    Quiesce, ///< Is quiesced by the proxy with a primary change in progress.
-    Promote, ///< Has another member promoted.
-    Publish, ///< Stores the record of the promoted member.
-    Restart, ///< The process is killed and started again.
-    Rise, ///< The store loses its newest writes and starts a new epoch; `proxy` is the number of writes lost, less one.
-    Wait, ///< Time passes; `proxy` selects how much.
-};
-
-struct TableEvent {
-    TableEventKind kind;
-    std::size_t proxy = 0;
-};
-
-[[nodiscard]] inline std::string toText(const std::vector<TableEvent> &events)
-{
-    static const char *const names[] = {"contend",
-                                        "list",
-                                        "register",
-                                        "renew-from-holder",
-                                        "renew-from-peer",
-                                        "holder-duties",
-                                        "start-change",
-                                        "quiesce",
-                                        "promote",
-                                        "publish",
-                                        "restart",
-                                        "rise",
-                                        "wait"};
-    std::string text;
-    for (const auto &event : events) {
-        text += std::string(names[static_cast<std::size_t>(event.kind)]) + "(" + std::to_string(event.proxy) + ") ";
-    }
-    return text;
-}
-
 /// The store, the proxies, and which member was promoted last. Copyable, so that a search can branch.
 class TableModel
 {
@@ -69,28 +27,7 @@
     static constexpr Milliseconds waits[] = {Milliseconds{100}, Milliseconds{800}, Milliseconds{2500}, Milliseconds{7500}};
 
     /// All proxies are registered, proxy 0 holds the lease, and the record names the first member.
-    explicit TableModel(std::size_t proxies)
-    {
-        for (std::size_t index = 0; index < proxies; ++index) {
-            proxies_.push_back(newProxy(index, true));
-        }
-        for (std::size_t index = 0; index < proxies; ++index) {
-            apply({TableEventKind::List, index});
-            apply({TableEventKind::Register, index});
-        }
-        apply({TableEventKind::ContendForLease, 0});
-        now_ += Milliseconds{400};
-        apply({TableEventKind::ContendForLease, 0});
-        for (std::size_t index = 0; index < proxies; ++index) {
-            apply({TableEventKind::List, index});
-        }
-        now_ += Milliseconds{1000};
-        apply({TableEventKind::HolderDuties, 0});
-        apply({TableEventKind::HolderDuties, 0});
-        for (std::size_t index = 1; index < proxies; ++index) {
-            apply({TableEventKind::RenewFromHolder, index});
-        }
-    }
+    explicit TableModel(std::size_t proxies);
 
     [[nodiscard]] const std::string &violation() const noexcept
     {
@@ -103,52 +40,9 @@
         return proxies_[proxy].table.primaryOf(group()).usable(now_);
     }
 
-    [[nodiscard]] bool enabled(const TableEvent &event) const
-    {
-        if (event.kind == TableEventKind::Rise) {
-            return event.proxy + 1 < history_.size() && epoch_ < maxEpoch;
-        }
-        if (event.kind == TableEventKind::Wait) {
-            return event.proxy < std::size(waits);
-        }
-        if (event.proxy >= proxies_.size()) {
-            return false;
-        }
-        const auto &proxy = proxies_[event.proxy];
-        switch (event.kind) {
-        case TableEventKind::RenewFromHolder:
-            return !holds(proxy) && holder() != nullptr;
-        case TableEventKind::RenewFromPeer:
-            return !holds(proxy);
-        case TableEventKind::HolderDuties:
-            return holds(proxy) && proxy.recordsCurrent;
-        case TableEventKind::StartChange:
-            return mayStartChange(proxy);
-        case TableEventKind::Quiesce:
-            return changer() != nullptr;
-        case TableEventKind::Promote:
-            return mayPromote(proxy);
-        case TableEventKind::Publish:
-            return holds(proxy) && proxy.change && proxy.change->promoted;
-        default:
-            return true;
-        }
-    }
+    [[nodiscard]] bool enabled(const TableEvent &event) const;
 
-    void apply(const TableEvent &event)
-    {
-        if (event.kind == TableEventKind::Rise) {
-            rise(event.proxy + 1);
-        } else if (event.kind == TableEventKind::Wait) {
-            now_ += waits[event.proxy];
-        } else {
-            applyAt(event.kind, event.proxy);
-        }
-        for (auto &proxy : proxies_) {
-            noticeLostLease(proxy);
-        }
-        check();
-    }
+    void apply(const TableEvent &event);
 
 private:
     static constexpr std::uint64_t maxEpoch = 3;
@@ -191,13 +85,7 @@
         return GroupName{"g"};
     }
 
-    static Proxy newProxy(std::size_t index, bool newFleet)
-    {
-        Proxy proxy{
-            FleetLease(InstanceName{"proxy-" + std::to_string(index)}, index + 1, newFleet), {}, {}, RecordRecovery(), {}, {}, {}, {}};
-        proxy.newFleet = newFleet;
-        return proxy;
-    }
+    static Proxy newProxy(std::size_t index, bool newFleet);
 
     [[nodiscard]] bool holds(const Proxy &proxy) const
     {
@@ -210,12 +98,7 @@
         return found == proxies_.end() ? nullptr : &*found;
     }
 
-    Proxy *changer()
-    {
-        const auto found =
-            std::find_if(proxies_.begin(), proxies_.end(), [this](const Proxy &proxy) { return holds(proxy) && proxy.change; });
-        return found == proxies_.end() ? nullptr : &*found;
-    }
+    Proxy *changer();
     [[nodiscard]] const Proxy *changer() const
     {
         return const_cast<TableModel *>(this)->changer();
@@ -226,179 +109,30 @@
         return StoreEpoch{epoch_};
     }
 
-    void applyAt(TableEventKind kind, std::size_t index)
-    {
-        auto &proxy = proxies_[index];
-        switch (kind) {
-        case TableEventKind::ContendForLease:
-            contend(proxy, index);
-            break;
-        case TableEventKind::List:
-            list(proxy, index);
-            break;
-        case TableEventKind::Register:
-            enroll(proxy, index);
-            break;
-        case TableEventKind::RenewFromHolder:
-            renewFromHolder(proxy, index);
-            break;
-        case TableEventKind::RenewFromPeer:
-            renewFromPeer(proxy, index);
-            break;
-        case TableEventKind::HolderDuties:
-            holderDuties(proxy);
-            break;
-        case TableEventKind::StartChange:
-            startChange(proxy, index);
-            break;
-        case TableEventKind::Quiesce:
-            quiesce(proxy, index);
-            break;
-        case TableEventKind::Promote:
-            promote(proxy);
-            break;
-        case TableEventKind::Publish:
-            publish(proxy);
-            break;
-        default:
-            proxy = newProxy(index, false);
-            break;
-        }
-    }
+    void applyAt(TableEventKind kind, std::size_t index);
 
     // The store and its epoch
 
-    void observeEpoch(Proxy &proxy)
-    {
-        const auto known = proxy.epochs.newest();
-        const bool first = !proxy.epochs.known();
-        if (!proxy.epochs.observe(epoch()) || (!first && known == epoch())) {
-            return;
-        }
-        const bool held = holds(proxy);
-        proxy.lease.onStoreEpoch({epoch(), first}, now_);
-        std::vector<GroupName> remembered;
-        if (held && proxy.recordsCurrent) {
-            for (const auto &record : proxy.recovery.trustedRecords(proxy.table)) {
-                remembered.push_back(record.group);
-            }
-        }
-        proxy.recovery.onStoreEpoch(epoch(), remembered);
-        if (held) {
-            proxy.grantEpoch.onStoreEpoch(epoch(), now_);
-        }
-        proxy.change.reset();
-    }
+    void observeEpoch(Proxy &proxy);
 
-    Stored &beginWrite()
-    {
-        history_.push_back(history_.back());
-        ++history_.back().revision;
-        return history_.back();
-    }
+    Stored &beginWrite();
 
     /// Writes the record if the stored one has the number of the expected revision; returns the new revision.
-    std::optional<Revision> writeRecord(Proxy &proxy, GroupRecord record)
-    {
-        const bool sendable = record.revision.value == 0 || record.revision.epoch >= proxy.epochs.newest();
-        const auto sentIn = proxy.epochs.newest();
-        const auto &present = history_.back().record;
-        const auto number = present ? present->revision.value : 0;
-        if (!sendable || number != record.revision.value) {
-            return std::nullopt;
-        }
-        auto &stored = beginWrite();
-        record.revision = Revision{stored.revision, epoch()};
-        stored.record = record;
-        observeEpoch(proxy);
-        return sentIn == epoch() ? std::optional(record.revision) : std::nullopt;
-    }
+    std::optional<Revision> writeRecord(Proxy &proxy, GroupRecord record);
 
-    void rise(std::size_t lostWrites)
-    {
-        for (std::size_t lost = 0; lost < lostWrites; ++lost) {
-            history_.pop_back();
-        }
-        ++epoch_;
-    }
+    void rise(std::size_t lostWrites);
 
     // Lease
 
-    void contend(Proxy &proxy, std::size_t index)
-    {
-        observeEpoch(proxy);
-        auto state = history_.back().lease;
-        if (state) {
-            state->revision.epoch = epoch();
-        }
-        proxy.lease.onStoredLease(state, epoch(), now_);
-        const auto write = proxy.lease.next(now_);
-        if (!write) {
-            return;
-        }
-        auto &stored = beginWrite();
-        const Revision revision{stored.revision, epoch()};
-        const auto token = write->fencingToken == 0 ? fencingTokenOf(revision) : write->fencingToken;
-        stored.lease = LeaseState{InstanceName{"proxy-" + std::to_string(index)}, token, write->renewals, revision, write->epoch};
-        if (proxy.lease.written(write->id, revision, now_, now_) == LeaseWriteResult::Acquired) {
-            proxy.recordsCurrent = false;
-            proxy.change.reset();
-            proxy.recovery.reset(epoch());
-            proxy.grantEpoch.onAcquired(epoch());
-            proxy.held = true;
-        }
-    }
+    void contend(Proxy &proxy, std::size_t index);
 
-    void noticeLostLease(Proxy &proxy)
-    {
-        if (proxy.held && !holds(proxy)) {
-            proxy.held = false;
-            proxy.recordsCurrent = false;
-            proxy.change.reset();
-            proxy.recovery.reset(proxy.epochs.newest());
-        }
-    }
+    void noticeLostLease(Proxy &proxy);
 
     // Entries and tables
 
-    void list(Proxy &proxy, std::size_t index)
-    {
-        observeEpoch(proxy);
-        const auto &stored = history_.back();
-        proxy.registry.clear();
-        for (const auto &[other, number] : stored.entries) {
-            proxy.registry[other] = Revision{number, epoch()};
-        }
-        const bool registered = stored.entries.contains(index);
-        proxy.ownRevision = registered ? proxy.registry.at(index) : Revision{};
-        std::vector<GroupRecord> records;
-        if (stored.record) {
-            records.push_back(*stored.record);
-            records.back().revision.epoch = epoch();
-        }
-        for (const auto &record : records) {
-            (void)proxy.table.accept(record);
-        }
-        proxy.recovery.onListing(records, proxy.table);
-        if (registered) {
-            proxy.tableEpoch = std::max(proxy.tableEpoch, epoch());
-            proxy.table.renew(records, now_);
-        }
-        if (holds(proxy)) {
-            proxy.recordsCurrent = true;
-        }
-    }
+    void list(Proxy &proxy, std::size_t index);
 
-    void enroll(Proxy &proxy, std::size_t index)
-    {
-        if (proxy.ownRevision.value != 0 && proxy.ownRevision.epoch == proxy.epochs.newest()) {
-            return;
-        }
-        auto &stored = beginWrite();
-        stored.entries[index] = stored.revision;
-        observeEpoch(proxy);
-        proxy.ownRevision = Revision{stored.revision, epoch()};
-    }
+    void enroll(Proxy &proxy, std::size_t index);
 
     static bool registeredIn(const Proxy &granting, std::size_t index, StoreEpoch epoch)
     {
@@ -406,59 +140,15 @@
         return found != granting.registry.end() && found->second.epoch >= epoch;
     }
 
-    void renewFromHolder(Proxy &proxy, std::size_t index)
-    {
-        const auto &granting = *holder();
-        const auto grantEpoch = granting.grantEpoch.at(now_);
-        if (!granting.lease.holds(now_ + primaryTableLease) || !granting.recordsCurrent || !registeredIn(granting, index, grantEpoch)) {
-            return;
-        }
-        proxy.tableEpoch = std::max(proxy.tableEpoch, grantEpoch);
-        proxy.table.renew(granting.recovery.trustedRecords(granting.table), now_);
-    }
+    void renewFromHolder(Proxy &proxy, std::size_t index);
 
-    void renewFromPeer(Proxy &proxy, std::size_t index)
-    {
-        const auto &granting = proxies_[(index + 1) % proxies_.size()];
-        const auto age = now_ - granting.table.asOf();
-        if (holds(granting) || age >= primaryTableLease * 3 / 4 || !registeredIn(granting, index, granting.tableEpoch)) {
-            return;
-        }
-        proxy.tableEpoch = std::max(proxy.tableEpoch, granting.tableEpoch);
-        proxy.table.renew(granting.table.current(), now_ - age);
-    }
+    void renewFromPeer(Proxy &proxy, std::size_t index);
 
     // Lease holder
 
-    void holderDuties(Proxy &proxy)
-    {
-        proxy.table.renew(proxy.recovery.trustedRecords(proxy.table), std::min(now_, proxy.lease.validUntil() - primaryTableLease));
-        proxy.tableEpoch = std::max(proxy.tableEpoch, proxy.grantEpoch.at(now_));
-        for (const auto &record : proxy.recovery.next(proxy.table, now_)) {
-            if (const auto revision = writeRecord(proxy, record)) {
-                proxy.recovery.written(record.group);
-                accept(proxy, record, *revision);
-            } else {
-                proxy.recovery.failed(record.group, now_);
-            }
-        }
-        if (proxy.table.find(group()) == nullptr && !history_.back().record) {
-            bootstrap(proxy);
-        }
-    }
+    void holderDuties(Proxy &proxy);
 
-    void bootstrap(Proxy &proxy)
-    {
-        GroupRecord record{group(), leader_, 1, false, {}, proxy.epochs.newest()};
-        record.generation = firstGenerationOf(record.writtenIn);
-        if (!proxy.newFleet || proxy.epochs.risen()) {
-            record.changeInProgress = true;
-            proxy.recovery.setUnverified(group());
-        }
-        if (const auto revision = writeRecord(proxy, record)) {
-            accept(proxy, record, *revision);
-        }
-    }
+    void bootstrap(Proxy &proxy);
 
     static void accept(Proxy &proxy, GroupRecord record, Revision revision)
     {
@@ -466,92 +156,19 @@
         (void)proxy.table.accept(record);
     }
 
-    [[nodiscard]] bool mayStartChange(const Proxy &proxy) const
-    {
-        const auto *record = proxy.table.find(group());
-        return holds(proxy) && proxy.recordsCurrent && !proxy.change && now_ - proxy.lease.acquiredAt() >= primaryTableLease
-            && proxy.grantEpoch.earlierTablesExpired(now_) && record != nullptr && proxy.recovery.current(*record);
-    }
+    [[nodiscard]] bool mayStartChange(const Proxy &proxy) const;
 
-    void startChange(Proxy &proxy, std::size_t index)
-    {
-        auto record = *proxy.table.find(group());
-        if (!record.changeInProgress) {
-            record.changeInProgress = true;
-            record.writtenIn = proxy.epochs.newest();
-            const auto revision = writeRecord(proxy, record);
-            if (!revision) {
-                return;
-            }
-            record.revision = *revision;
-            (void)proxy.table.accept(record);
-        }
-        const auto before = proxy.epochs.newest();
-        const auto &entries = history_.back().entries;
-        observeEpoch(proxy);
-        if (proxy.epochs.newest() != before) {
-            return;
-        }
-        Change change{record, now_, {index}, false, {}};
-        for (const auto &[other, number] : entries) {
-            change.toQuiesce.insert(other);
-        }
-        proxy.change = change;
-        quiesce(proxy, index);
-    }
+    void startChange(Proxy &proxy, std::size_t index);
 
-    void quiesce(Proxy &proxy, std::size_t index)
-    {
-        auto &changing = *changer();
-        (void)proxy.table.accept(changing.change->record);
-        changing.change->toQuiesce.erase(index);
-    }
+    void quiesce(Proxy &proxy, std::size_t index);
 
-    [[nodiscard]] bool mayPromote(const Proxy &proxy) const
-    {
-        if (!proxy.change || proxy.change->promoted || !proxy.lease.holds(now_ + promoteTimeout)) {
-            return false;
-        }
-        return proxy.change->toQuiesce.empty() || now_ >= proxy.change->recordedAt + primaryTableLease + tableMargin;
-    }
+    [[nodiscard]] bool mayPromote(const Proxy &proxy) const;
 
-    void promote(Proxy &proxy)
-    {
-        if (!proxy.recovery.unverified(group())) {
-            leader_ = MemberName{"member-" + std::to_string(++promotions_)};
-        }
-        proxy.change->member = leader_;
-        proxy.change->promoted = true;
-    }
+    void promote(Proxy &proxy);
 
-    void publish(Proxy &proxy)
-    {
-        auto record = proxy.change->record;
-        record.changeInProgress = false;
-        record.primary = proxy.change->member;
-        ++record.generation;
-        record.writtenIn = proxy.epochs.newest();
-        const auto revision = writeRecord(proxy, record);
-        proxy.change.reset();
-        if (revision) {
-            proxy.recovery.onChangeEnded(group());
-            record.revision = *revision;
-            proxy.table.renew({record}, std::min(now_, proxy.lease.validUntil() - primaryTableLease));
-        }
-    }
+    void publish(Proxy &proxy);
 
-    void check()
-    {
-        if (std::count_if(proxies_.begin(), proxies_.end(), [this](const Proxy &proxy) { return holds(proxy); }) > 1) {
-            violation_ = "two proxies rely on the lease";
-        }
-        for (const auto &proxy : proxies_) {
-            const auto cached = proxy.table.primaryOf(group());
-            if (cached.usable(now_) && cached.member != leader_) {
-                violation_ = "a proxy relies on " + cached.member.text() + " although " + leader_.text() + " was promoted";
-            }
-        }
-    }
+    void check();
 
     TimePoint now_{Seconds{1000}};
     std::vector<Proxy> proxies_;
