--- /dev/null
+++ b/src/gateway/callerconnections.h
@@ -0,0 +1,172 @@
+// The connections of callers: reports their statements to the engine, returns its answers, and ends them when the process stops.
+#pragma once
+
+#include "evloop/clock.h"
+#include "gateway/callerconnection.h"
+#include "gateway/proxymetrics.h"
+#include "gateway/sessionplacement.h"
+#include "logging/log.h"
+#include "relay/engine.h"
+
+#include <boost/asio.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cardamomstep::gateway {
+
+/// Callbacks of a CallerConnections.
+struct CallerConnectionsHandlers {
+    std::function<void(LogLevel level, std::string_view event, const std::vector<LogField> &fields)> log;
+    /// Performs the engine's pending actions; called after each report to the engine.
+    std::function<void()> perform;
+    /// A caller's connection has ended.
+    std::function<void()> ended;
+};
+
+/// All connections of callers to one process; \a Wire is the line format.
+template<relay::WireCodec Wire>
+class CallerConnections
+{
+public:
+    CallerConnections(boost::asio::io_context &loop,
+                      relay::Engine &engine,
+                      SessionPlacement &placement,
+                      ProxyMetrics &metrics,
+                      CallerConnectionsHandlers handlers)
+        : loop_(loop)
+        , engine_(engine)
+        , placement_(placement)
+        , metrics_(metrics)
+        , handlers_(std::move(handlers))
+    {
+    }
+
+    /// Adds a connection; the sessions of those \a fromProxy are served by this process and never forwarded again.
+    void add(boost::asio::ip::tcp::socket socket, bool fromProxy)
+    {
+        const auto key = nextKey_++;
+        const auto caller = std::make_shared<Caller>(loop_, std::move(socket), handlersOf(key, fromProxy));
+        callers_.emplace(key, caller);
+        if (engine_.draining()) {
+            (void)caller->endWhenIdle();
+            caller->endBy(transactionsUntil_);
+        }
+        caller->start();
+    }
+
+    void reply(const relay::ReplyToCaller &action)
+    {
+        const auto caller = callers_.find(action.caller);
+        metrics_.answered(action);
+        if (caller != callers_.end()) {
+            // Sending the answer may deliver the caller's next statement, which may end the session and remove it from callers_.
+            const auto connection = caller->second;
+            connection->reply(action.reply);
+        }
+    }
+
+    void close(const relay::CloseCaller &action)
+    {
+        const auto caller = callers_.find(action.caller);
+        if (caller == callers_.end()) {
+            return;
+        }
+        const auto connection = caller->second;
+        callers_.erase(caller);
+        connection->close();
+        engine_.callerClosed(action.caller, evloop::bootTimeNow());
+        handlers_.ended();
+    }
+
+    /// Ends the forwarded sessions, now and of connections added later: each as soon as it is idle, transactions at \a transactionsUntil.
+    void endForwarded(TimePoint transactionsUntil)
+    {
+        transactionsUntil_ = transactionsUntil;
+        std::vector<std::shared_ptr<Caller>> idle;
+        for (auto caller = callers_.begin(); caller != callers_.end();) {
+            caller->second->endBy(transactionsUntil);
+            if (caller->second->endWhenIdle()) {
+                idle.push_back(caller->second);
+                caller = callers_.erase(caller);
+            } else {
+                ++caller;
+            }
+        }
+        for (const auto &caller : idle) {
+            caller->close();
+        }
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return callers_.size();
+    }
+
+private:
+    using Caller = CallerConnection<Wire>;
+
+    CallerConnectionHandlers handlersOf(relay::CallerKey key, bool fromProxy)
+    {
+        CallerConnectionHandlers handlers;
+        if (!fromProxy) {
+            handlers.forward = [this, key](const relay::DatabaseName &database) {
+                return placement_.targetOf(database, key);
+            };
+        }
+        handlers.forwardFailed = [this](const Address &proxy) {
+            handlers_.log(LogLevel::Warning, "forward_failed", {{"proxy", proxy.text()}});
+            placement_.onTargetFailed(proxy);
+        };
+        handlers.redirected = [this](const Address &proxy) {
+            handlers_.log(LogLevel::Info, "session_sent_on", {{"proxy", proxy.text()}});
+            metrics_.sessionMoved("sent_on");
+        };
+        handlers.adopted = [this, key](const relay::CallerSession &session) {
+            return adopt(key, session);
+        };
+        handlers.opened = [this, key](const relay::DatabaseName &database) {
+            auto opened = engine_.callerOpened(key, database, evloop::bootTimeNow());
+            handlers_.perform();
+            return opened;
+        };
+        handlers.statement = [this, key](const relay::SessionStatement &statement) {
+            engine_.callerStatement(key, statement, evloop::bootTimeNow());
+            handlers_.perform();
+        };
+        handlers.closed = [this, key] {
+            callers_.erase(key);
+            engine_.callerClosed(key, evloop::bootTimeNow());
+            handlers_.perform();
+            handlers_.ended();
+        };
+        return handlers;
+    }
+
+    bool adopt(relay::CallerKey key, const relay::CallerSession &session)
+    {
+        const bool adopted = static_cast<bool>(engine_.callerAdopted(key, session, evloop::bootTimeNow()));
+        handlers_.log(LogLevel::Warning,
+                      "session_taken_over",
+                      {{"database", session.database().text()}, {"adopted", static_cast<std::int64_t>(adopted ? 1 : 0)}});
+        metrics_.sessionMoved("taken_over");
+        handlers_.perform();
+        return adopted;
+    }
+
+    boost::asio::io_context &loop_;
+    relay::Engine &engine_;
+    SessionPlacement &placement_;
+    ProxyMetrics &metrics_;
+    CallerConnectionsHandlers handlers_;
+    std::unordered_map<relay::CallerKey, std::shared_ptr<Caller>> callers_;
+    relay::CallerKey nextKey_ = 1;
+    /// While the process stops, when the transactions of forwarded sessions are ended.
+    TimePoint transactionsUntil_;
+};
+
+} // namespace cardamomstep::gateway
--- a/src/gateway/leadershipservice.h
+++ b/src/gateway/leadershipservice.h
@@ -195,8 +195,8 @@
         registry_.clear();
         std::vector<leadership::GroupRecord> records;
         for (const auto &object : listing.objects) {
-            applyObject(object, now);
             const auto decoded = leadership::decodeFleetObject(object);
+            applyDecoded(decoded, object, now);
             if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded)) {
                 records.push_back(*record);
             }
@@ -216,7 +216,11 @@
 
     void applyObject(const StoredObject &object, TimePoint now)
     {
-        auto decoded = leadership::decodeFleetObject(object);
+        applyDecoded(leadership::decodeFleetObject(object), object, now);
+    }
+
+    void applyDecoded(const leadership::FleetObject &decoded, const StoredObject &object, TimePoint now)
+    {
         if (const auto *lease = std::get_if<leadership::LeaseState>(&decoded)) {
             leaseManager_.onStoredLease(object.deleted ? std::nullopt : std::optional(*lease), object.version.epoch, now);
         } else if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded); record != nullptr && !object.deleted) {
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -4,10 +4,10 @@
 #include "base/hash.h"
 #include "evloop/clock.h"
 #include "evloop/httpserver.h"
-#include "gateway/callerconnection.h"
+#include "gateway/callerconnections.h"
 #include "gateway/catalogwatcher.h"
 #include "gateway/leadershipservice.h"
-#include "gateway/memberconnection.h"
+#include "gateway/memberconnections.h"
 #include "gateway/proxymetrics.h"
 #include "gateway/sessionplacement.h"
 #include "gateway/statuspage.h"
@@ -21,7 +21,6 @@
 
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 namespace cardamomstep::gateway {
 
@@ -55,6 +54,8 @@
         , leadership_(loop, settings, epochs_, seedOf(settings), leadershipHost())
         , acceptor_(loop)
         , sessionAcceptor_(loop)
+        , callers_(loop, engine_, placement_, metrics_, callerHandlers())
+        , memberConnections_(loop, engine_, metrics_, [this] { perform(); })
         , wakeTimer_(loop)
         , logTimer_(loop)
     {
@@ -118,17 +119,14 @@
         stoppingSince_ = now;
         log(LogLevel::Info, "stop", {{"sessions", static_cast<std::int64_t>(engine_.callers())}});
         leadership_.leave();
-        transactionsUntil_ = now + settings_.stopGrace / 2;
-        endForwarded();
-        engine_.drain(transactionsUntil_, now);
+        const auto transactionsUntil = now + settings_.stopGrace / 2;
+        callers_.endForwarded(transactionsUntil);
+        engine_.drain(transactionsUntil, now);
         perform();
         checkStopped();
     }
 
 private:
-    using Caller = CallerConnection<Wire>;
-    using Member = MemberConnection<Wire>;
-
     static std::uint64_t seedOf(const SessionSettings &settings)
     {
         return stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count()));
@@ -136,12 +134,6 @@
 
     LeadershipHost leadershipHost()
     {
-        const auto write = [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
-            log(level, event, fields);
-        };
-        const auto perform = [this] {
-            this->perform();
-        };
         const auto proxiesChanged = [this] {
             placement_.setProxies(leadership_.sessionTargets());
         };
@@ -151,7 +143,24 @@
         const auto onPeerRevisions = [this](const CatalogRevisions &revisions) {
             catalog_.onPeerRevisions(revisions);
         };
-        return LeadershipHost{engine_, directory_, write, perform, proxiesChanged, catalogRevisions, onPeerRevisions};
+        return LeadershipHost{engine_, directory_, logWriter(), [this] { perform(); }, proxiesChanged, catalogRevisions, onPeerRevisions};
+    }
+
+    CallerConnectionsHandlers callerHandlers()
+    {
+        return {logWriter(),
+                [this] { perform(); },
+                [this] {
+                    checkStopped();
+                }};
+    }
+
+    /// The function by which the parts of this process write to its log.
+    std::function<void(LogLevel, std::string_view, const std::vector<LogField> &)> logWriter()
+    {
+        return [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
+            log(level, event, fields);
+        };
     }
 
     void log(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
@@ -195,62 +204,12 @@
                 return;
             }
             if (!error) {
-                addCaller(std::move(socket), fromProxy);
+                callers_.add(std::move(socket), fromProxy);
             }
             accept(acceptor, fromProxy);
         });
     }
 
-    void addCaller(boost::asio::ip::tcp::socket socket, bool fromProxy)
-    {
-        const auto key = nextCaller_++;
-        CallerConnectionHandlers handlers;
-        if (!fromProxy) {
-            handlers.forward = [this, key](const relay::DatabaseName &database) {
-                return placement_.targetOf(database, key);
-            };
-        }
-        handlers.forwardFailed = [this](const Address &proxy) {
-            log(LogLevel::Warning, "forward_failed", {{"proxy", proxy.text()}});
-            placement_.onTargetFailed(proxy);
-        };
-        handlers.redirected = [this](const Address &proxy) {
-            log(LogLevel::Info, "session_sent_on", {{"proxy", proxy.text()}});
-            metrics_.sessionMoved("sent_on");
-        };
-        handlers.adopted = [this, key](const relay::CallerSession &session) {
-            const bool adopted = static_cast<bool>(engine_.callerAdopted(key, session, evloop::bootTimeNow()));
-            log(LogLevel::Warning,
-                "session_taken_over",
-                {{"database", session.database().text()}, {"adopted", static_cast<std::int64_t>(adopted ? 1 : 0)}});
-            metrics_.sessionMoved("taken_over");
-            perform();
-            return adopted;
-        };
-        handlers.opened = [this, key](const relay::DatabaseName &database) {
-            auto opened = engine_.callerOpened(key, database, evloop::bootTimeNow());
-            perform();
-            return opened;
-        };
-        handlers.statement = [this, key](const relay::SessionStatement &statement) {
-            engine_.callerStatement(key, statement, evloop::bootTimeNow());
-            perform();
-        };
-        handlers.closed = [this, key] {
-            callers_.erase(key);
-            engine_.callerClosed(key, evloop::bootTimeNow());
-            perform();
-            checkStopped();
-        };
-        const auto caller = std::make_shared<Caller>(loop_, std::move(socket), std::move(handlers));
-        callers_.emplace(key, caller);
-        if (engine_.draining()) {
-            (void)caller->endWhenIdle();
-            caller->endBy(transactionsUntil_);
-        }
-        caller->start();
-    }
-
     // Store
 
     CatalogHandlers catalogHandlers()
@@ -265,9 +224,7 @@
         handlers.storeFailed = [this](std::string_view dependency) {
             metrics_.storeFailed(dependency);
         };
-        handlers.log = [this](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
-            log(level, event, fields);
-        };
+        handlers.log = logWriter();
         return handlers;
     }
 
@@ -321,95 +278,36 @@
         scheduleWake();
     }
 
-    void perform(relay::ReplyToCaller &action)
+    void perform(const relay::ReplyToCaller &action)
     {
-        const auto caller = callers_.find(action.caller);
-        metrics_.answered(action);
-        if (caller != callers_.end()) {
-            // Sending the answer may deliver the caller's next statement, which may end the session and remove it from callers_.
-            const auto connection = caller->second;
-            connection->reply(action.reply);
-        }
+        callers_.reply(action);
     }
 
-    void perform(relay::CloseCaller &action)
+    void perform(const relay::CloseCaller &action)
     {
-        const auto caller = callers_.find(action.caller);
-        if (caller == callers_.end()) {
-            return;
-        }
-        const auto connection = caller->second;
-        callers_.erase(caller);
-        connection->close();
-        engine_.callerClosed(action.caller, evloop::bootTimeNow());
-        checkStopped();
+        callers_.close(action);
     }
 
-    void perform(relay::OpenMemberConnection &action)
+    void perform(const relay::OpenMemberConnection &action)
     {
-        const auto key = action.connection;
-        MemberConnectionHandlers handlers;
-        handlers.opened = [this, key](const std::optional<LogPosition> &position) {
-            engine_.connectionOpened(key, position, evloop::bootTimeNow());
-            perform();
-        };
-        handlers.replied = [this, key](const relay::MemberReply &reply) {
-            engine_.connectionReplied(key, reply, evloop::bootTimeNow());
-            perform();
-        };
-        handlers.closed = [this, key](std::optional<relay::MemberFault> refusal) {
-            memberConnections_.erase(key);
-            engine_.connectionClosed(key, refusal, evloop::bootTimeNow());
-            perform();
-        };
-        const auto connection = std::make_shared<Member>(std::move(handlers));
-        memberConnections_.emplace(key, connection);
-        metrics_.memberConnectionOpened();
-        connection->open(loop_, action.address, action.group, action.member);
+        memberConnections_.open(action);
     }
 
-    void perform(relay::SendToMember &action)
+    void perform(const relay::SendToMember &action)
     {
-        const auto connection = memberConnections_.find(action.connection);
-        if (connection != memberConnections_.end()) {
-            connection->second->send(action.requests);
-        }
+        memberConnections_.send(action);
     }
 
-    void perform(relay::CloseMemberConnection &action)
+    void perform(const relay::CloseMemberConnection &action)
     {
-        const auto connection = memberConnections_.find(action.connection);
-        if (connection == memberConnections_.end()) {
-            return;
-        }
-        const auto closing = connection->second;
-        memberConnections_.erase(connection);
-        closing->close();
+        memberConnections_.close(action);
     }
 
-    void perform(relay::LogDecision &action)
+    void perform(const relay::LogDecision &action)
     {
         log(action.level, action.event, action.fields);
     }
 
-    /// Ends the forwarded sessions, each as soon as it is idle, and those in a transaction at transactionsUntil_.
-    void endForwarded()
-    {
-        std::vector<std::shared_ptr<Caller>> idle;
-        for (auto caller = callers_.begin(); caller != callers_.end();) {
-            caller->second->endBy(transactionsUntil_);
-            if (caller->second->endWhenIdle()) {
-                idle.push_back(caller->second);
-                caller = callers_.erase(caller);
-            } else {
-                ++caller;
-            }
-        }
-        for (const auto &caller : idle) {
-            caller->close();
-        }
-    }
-
     // Timers
 
     void scheduleWake()
@@ -457,7 +355,7 @@
             sessionAcceptor_.close(ignored);
         }
         const bool outOfTime = stoppingFor >= settings_.stopGrace * 9 / 10;
-        const bool done = callers_.empty() && stoppingFor >= limits_.acceptAfterStop + limits_.lastConnectionsGrace;
+        const bool done = callers_.size() == 0 && stoppingFor >= limits_.acceptAfterStop + limits_.lastConnectionsGrace;
         if (!done && !outOfTime) {
             return;
         }
@@ -487,16 +385,13 @@
     boost::asio::ip::tcp::acceptor sessionAcceptor_;
     std::shared_ptr<evloop::HttpServer> readiness_;
     std::shared_ptr<evloop::HttpServer> metricsServer_;
-    std::unordered_map<relay::CallerKey, std::shared_ptr<Caller>> callers_;
-    std::unordered_map<relay::MemberConnectionKey, std::shared_ptr<Member>> memberConnections_;
-    relay::CallerKey nextCaller_ = 1;
+    CallerConnections<Wire> callers_;
+    MemberConnections<Wire> memberConnections_;
     boost::asio::steady_timer wakeTimer_;
     boost::asio::steady_timer logTimer_;
     /// When wakeTimer_ fires; std::nullopt while it is not set.
     std::optional<TimePoint> wakeAt_;
     std::optional<TimePoint> stoppingSince_;
-    /// While stopping, when transactions are ended.
-    TimePoint transactionsUntil_;
     /// True while actions are performed; further actions that result from them are performed by the same call.
     bool performing_ = false;
 };
--- a/src/leadership/fleetlease.cpp
+++ b/src/leadership/fleetlease.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Bits of the number of a revision in a fencing token. Tokens stay below 2^53, which every JSON reader represents exactly.
+/// Bits of a fencing token for the number and the epoch of a revision, 53 together: every JSON reader represents such integers exactly.
 constexpr unsigned tokenNumberBits = 33;
 constexpr unsigned tokenEpochBits = 20;
 
@@ -97,7 +97,7 @@
     return state_ ? state_->holder : InstanceName{};
 }
 
-/// True when the stored lease, or its absence, cannot be a state that a newer lost one replaced.
+/// True when the stored lease, or its absence, is certainly the newest: the store cannot have lost a newer version.
 bool FleetLease::storedLeaseConfirmed() const noexcept
 {
     return state_ ? state_->confirmed() : epoch_ == StoreEpoch{} || newFleet_;
@@ -121,7 +121,7 @@
 bool FleetLease::mayTake(TimePoint now) const
 {
     if (!storedLeaseConfirmed()) {
-        // The lease that the store lost was renewed before this epoch began.
+        // If the store lost a newer lease, that was last renewed before the epoch began, and has ended after a whole duration.
         return now - epochSince_ >= limits_.duration + contentionDelay_ && now >= reportedEnd_ + limits_.clockMargin;
     }
     // A stored lease that names this instance belongs to an earlier process of it, which has ended.
--- a/src/leadership/fleetlease.h
+++ b/src/leadership/fleetlease.h
@@ -30,7 +30,7 @@
 struct LeaseState {
     /// Empty when the holder relinquished the lease and recorded that in the store.
     InstanceName holder;
-    /// Revision at which the holder took the lease: its fencing token.
+    /// The holder's fencing token, which stands for the epoch and revision at which it took the lease; see fencingTokenOf().
     std::uint64_t fencingToken = 0;
     /// The number of renewals. The store ignores a write that changes nothing, so without it no proxy would see a renewal.
     std::uint64_t renewals = 0;
@@ -68,7 +68,7 @@
     Revision expected;
     /// The epoch of the store to record in the lease.
     StoreEpoch epoch;
-    /// The fencing token to write; 0 means the revision of this write.
+    /// The fencing token to write; 0 means the one that stands for this write's own revision.
     std::uint64_t fencingToken = 0;
     /// Different in each write.
     std::uint64_t renewals = 0;
@@ -180,6 +180,7 @@
 private:
     [[nodiscard]] bool storedLeaseConfirmed() const noexcept;
     [[nodiscard]] bool mayTake(TimePoint now) const;
+    /// Returns a write of the lease and remembers it as pending; a \a fencingToken of 0 takes the lease.
     LeaseWrite startWrite(std::uint64_t fencingToken);
 
     InstanceName self_;
