Logs and metrics tell since when a member leaves, and what arrived of an abandoned reply

- The directory keeps since when a member counts as draining; where a watch was interrupted or the process has just started, since the last complete knowledge, but for half the drain time at most.
The platform's drain time becomes the setting memberDrainMs.
- The HTTP client reads responses piece by piece and reports what has arrived; watch_missed_news has received_bytes.

No decision changes.

--- a/src/evloop/httpclient.cpp
+++ b/src/evloop/httpclient.cpp
@@ -1,6 +1,7 @@
 // Runs exchanges one at a time on a keep-alive connection.
 #include "evloop/httpclient.h"
 
+#include "evloop/clock.h"
 #include "evloop/lineconnection.h"
 
 #include <boost/beast/core.hpp>
@@ -28,6 +29,7 @@
         : timer(loop)
     {
         parser.body_limit(maxResponseBytes);
+        parser.eager(true);
     }
 
     Pending pending;
@@ -35,6 +37,7 @@
     beast::http::request<beast::http::string_body> request;
     beast::http::response_parser<beast::http::string_body> parser;
     beast::flat_buffer buffer;
+    ResponseProgress progress;
     /// Sending has begun, so the server may execute the call.
     bool sent = false;
     bool finished = false;
@@ -123,26 +126,50 @@
             self->finish(exchange, Error{ErrorKind::StoreOutcomeUnknown, "the connection was lost: " + error.message()}, false);
             return;
         }
-        beast::http::async_read(
-            *self->socket_, exchange->buffer, exchange->parser, [self, exchange](const error_code &readError, std::size_t) {
-                if (exchange->finished) {
-                    return;
-                }
-                if (readError) {
-                    self->finish(exchange, Error{ErrorKind::StoreOutcomeUnknown, "incomplete reply: " + readError.message()}, false);
-                    return;
-                }
-                auto &message = exchange->parser.get();
-                const bool keepAlive = message.keep_alive();
-                HttpResponse response{static_cast<int>(message.result_int()), std::move(message.body()), {}};
-                if (!self->reportedHeader_.empty()) {
-                    response.reportedHeader = std::string(message[self->reportedHeader_]);
-                }
-                self->finish(exchange, std::move(response), keepAlive);
-            });
+        self->read(exchange);
     });
 }
 
+/// Reads the response piece by piece, to record its progress.
+void HttpClient::read(const std::shared_ptr<Exchange> &exchange)
+{
+    const auto self = shared_from_this();
+    beast::http::async_read_some(
+        *socket_, exchange->buffer, exchange->parser, [self, exchange](const error_code &error, std::size_t bytes) {
+            if (exchange->finished) {
+                return;
+            }
+            if (error) {
+                self->finish(exchange, Error{ErrorKind::StoreOutcomeUnknown, "incomplete reply: " + error.message()}, false);
+                return;
+            }
+            exchange->progress.bytes += bytes;
+            exchange->progress.lastBytesAt = bootTimeNow();
+            if (exchange->parser.is_done()) {
+                self->onResponse(exchange);
+            } else {
+                self->read(exchange);
+            }
+        });
+}
+
+void HttpClient::onResponse(const std::shared_ptr<Exchange> &exchange)
+{
+    auto &message = exchange->parser.get();
+    const bool keepAlive = message.keep_alive();
+    HttpResponse response{static_cast<int>(message.result_int()), std::move(message.body()), {}};
+    if (!reportedHeader_.empty()) {
+        response.reportedHeader = std::string(message[reportedHeader_]);
+    }
+    finish(exchange, std::move(response), keepAlive);
+}
+
+ResponseProgress HttpClient::progress() const
+{
+    const auto exchange = current_.lock();
+    return exchange && busy_ ? exchange->progress : ResponseProgress{};
+}
+
 void HttpClient::finish(const std::shared_ptr<Exchange> &exchange, Result<HttpResponse> result, bool keepAlive)
 {
     if (std::exchange(exchange->finished, true)) {
--- a/src/evloop/httpclient.h
+++ b/src/evloop/httpclient.h
@@ -36,6 +36,13 @@
     std::string reportedHeader;
 };
 
+/// What has arrived of a response that is not complete yet.
+struct ResponseProgress {
+    std::size_t bytes = 0;
+    /// When its last bytes arrived; the clock's origin while there are none.
+    TimePoint lastBytesAt;
+};
+
 /// A client of one server; calls are made one at a time, in order.
 ///
 /// A call fails with ErrorKind::StoreUnavailable if nothing was sent, otherwise with ErrorKind::StoreOutcomeUnknown. No call is retried.
@@ -56,6 +63,9 @@
     /// Ends the current call, if any, with ErrorKind::StoreOutcomeUnknown.
     void abandon();
 
+    /// Returns what has arrived of the response to the current call.
+    [[nodiscard]] ResponseProgress progress() const;
+
     /// Returns the number of calls that wait to be started.
     [[nodiscard]] std::size_t pending() const noexcept
     {
@@ -72,6 +82,8 @@
 
     void startNext();
     void write(const std::shared_ptr<Exchange> &exchange);
+    void read(const std::shared_ptr<Exchange> &exchange);
+    void onResponse(const std::shared_ptr<Exchange> &exchange);
     void finish(const std::shared_ptr<Exchange> &exchange, Result<HttpResponse> result, bool keepAlive);
 
     boost::asio::io_context &loop_;
--- a/src/gateway/catalogwatcher.h
+++ b/src/gateway/catalogwatcher.h
@@ -96,12 +96,8 @@
         const auto now = evloop::bootTimeNow();
         peerRevisions_.advanceTo(revisions);
         lastContactAt_ = now;
-        if (configuration_->onPeerRevision(peerRevisions_.configuration, now)) {
-            logMissedChange("configuration", peerRevisions_.configuration);
-        }
-        if (members_->onPeerRevision(peerRevisions_.members, now)) {
-            logMissedChange("members", peerRevisions_.members);
-        }
+        restartIfMissed("configuration", *configuration_, peerRevisions_.configuration, now);
+        restartIfMissed("members", *members_, peerRevisions_.members, now);
     }
 
     /// Drops members whose removal is trusted by now, and sets the longest wait of the watches.
@@ -134,10 +130,16 @@
         return std::min(limits_.configurationWait, settings_.configurationDeadline * 2 / 3);
     }
 
-    void logMissedChange(std::string_view dependency, Revision newest)
+    void restartIfMissed(std::string_view dependency, StoreWatcher<Store> &watcher, Revision newest, TimePoint now)
     {
-        handlers_.log(
-            LogLevel::Warning, "watch_missed_news", {{"dependency", dependency}, {"newest", static_cast<std::int64_t>(newest.value)}});
+        const auto received = watcher.progress().bytes;
+        if (watcher.onPeerRevision(newest, now)) {
+            handlers_.log(LogLevel::Warning,
+                          "watch_missed_news",
+                          {{"dependency", dependency},
+                           {"newest", static_cast<std::int64_t>(newest.value)},
+                           {"received_bytes", static_cast<std::int64_t>(received)}});
+        }
     }
 
     WatchResumeOptions watchOptions(Milliseconds wait) const
@@ -197,7 +199,8 @@
                     entries.push_back(std::move(*entry));
                 }
             }
-            directory_.replaceAll(entries, evloop::bootTimeNow());
+            const auto now = evloop::bootTimeNow();
+            directory_.replaceAll(entries, members_->completeAsOf(now), now);
             membersListed_ = true;
             storeReplied("members");
             handlers_.membersChanged();
@@ -238,7 +241,8 @@
         } else if (entry) {
             const auto *previous = directory_.find(name);
             const bool changed = previous == nullptr || !(*previous == *entry);
-            directory_.put(*entry);
+            const auto now = evloop::bootTimeNow();
+            directory_.put(*entry, members_->completeAsOf(now), now);
             if (!changed) {
                 return;
             }
--- a/src/gateway/proxymetrics.h
+++ b/src/gateway/proxymetrics.h
@@ -53,7 +53,8 @@
     }
 
     /// Sets the gauges and returns the whole page.
-    [[nodiscard]] std::string page(const relay::Engine &engine, const LeadershipGauges &leadership, std::uint64_t droppedLines)
+    [[nodiscard]] std::string
+    page(const relay::Engine &engine, const LeadershipGauges &leadership, std::uint64_t droppedLines, TimePoint now)
     {
         metrics_.set("sessions", static_cast<double>(engine.callers()));
         metrics_.set("configuration_version", static_cast<double>(engine.routes().version()));
@@ -67,6 +68,8 @@
             metrics_.set("member_connections_open" + labels, static_cast<double>(group.connections));
             metrics_.set("member_connections_lent" + labels, static_cast<double>(group.connectionsInUse));
             metrics_.set("primary_generation" + labels, static_cast<double>(group.primary.generation));
+            const auto leavingSince = group.primaryLeavingSince.value_or(now);
+            metrics_.set("primary_leaving_ms" + labels, static_cast<double>(wholeMilliseconds(now - leavingSince).count()));
         }
         return metrics_.page();
     }
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -48,6 +48,7 @@
         , random_(seedOf(settings))
         , log_(1, settings.logLevel, settings.instance.text())
         , engine_(settings.failureDomain, seedOf(settings))
+        , directory_(directoryLimitsOf(settings))
         , placement_(engine_, {settings.instance, settings.failureDomain, settings.listen.sessions})
         , epochs_(std::make_shared<StoreEpochs>())
         , catalog_(loop, settings_, epochs_, directory_, catalogHandlers())
@@ -132,6 +133,13 @@
         return stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count()));
     }
 
+    static relay::DirectoryLimits directoryLimitsOf(const SessionSettings &settings)
+    {
+        relay::DirectoryLimits limits;
+        limits.memberDrain = settings.memberDrain;
+        return limits;
+    }
+
     LeadershipHost leadershipHost()
     {
         const auto proxiesChanged = [this] {
@@ -185,7 +193,7 @@
             const auto gauges = leadership_.gauges(now);
             return evloop::HttpPage{200,
                                     path == "/status" ? statusPage(settings_.instance, engine_, gauges, now)
-                                                      : metrics_.page(engine_, gauges, log_.dropped())};
+                                                      : metrics_.page(engine_, gauges, log_.dropped(), now)};
         });
         return metricsServer_->listen(settings_.listen.metrics);
     }
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "evloop/clock.h"
+#include "evloop/httpclient.h"
 #include "store/missedchangedetector.h"
 #include "store/watchresume.h"
 
@@ -26,7 +27,7 @@
     std::function<void(const Error &error)> failed;
 };
 
-/// Watches the objects of one kind; \a Store provides list(), watch() and abandon().
+/// Watches the objects of one kind; \a Store provides list(), watch(), progress() and abandon().
 template<typename Store>
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher<Store>>
 {
@@ -74,6 +75,19 @@
         return newest_;
     }
 
+    /// Returns the earliest time at which the changes of a reply that arrived at \a now may have been made: \a now itself unless calls
+    /// failed or were abandoned since the reply before.
+    [[nodiscard]] TimePoint completeAsOf(TimePoint now) const noexcept
+    {
+        return interrupted_ ? completeAsOf_ : now;
+    }
+
+    /// Returns what has arrived of the reply to the call in progress.
+    [[nodiscard]] evloop::ResponseProgress progress() const
+    {
+        return store_.progress();
+    }
+
     /// Sets the longest wait of watches; a watch in progress that would wait longer is restarted.
     void setWait(Milliseconds wait)
     {
@@ -116,6 +130,7 @@
             return false;
         }
         watchAbandoned_ = true;
+        interrupted_ = true;
         store_.abandon();
         return true;
     }
@@ -142,6 +157,7 @@
             completeUpTo_ = listing->revision;
             updateNewest(listing->objects);
             handlers_.listed(*listing);
+            onComplete(now);
         }
         step();
     }
@@ -162,6 +178,9 @@
             completeUpTo_ = changes->revision;
             updateNewest(changes->changes);
             handlers_.changed(*changes);
+            onComplete(now);
+        } else {
+            interrupted_ = true;
         }
         if (changes->changes.empty()) {
             step();
@@ -177,8 +196,15 @@
         }
     }
 
+    void onComplete(TimePoint now)
+    {
+        completeAsOf_ = now;
+        interrupted_ = false;
+    }
+
     void onFailure(const Error &error, TimePoint now)
     {
+        interrupted_ = true;
         resume_.onFailure(now);
         handlers_.failed(error);
         step();
@@ -193,6 +219,10 @@
     /// All changes up to this revision were received.
     Revision completeUpTo_;
     Revision newest_;
+    /// When the last reply arrived with which all changes made until then were known.
+    TimePoint completeAsOf_;
+    /// A call was abandoned, failed or did not show all changes since then, or none was made yet.
+    bool interrupted_ = true;
     MissedChangeDetector missedChanges_{changeGrace};
     Milliseconds wait_;
     /// A watch is in progress.
--- a/src/relay/directory.cpp
+++ b/src/relay/directory.cpp
@@ -6,12 +6,12 @@
 
 namespace cardamomstep::relay {
 
-void MemberDirectory::replaceAll(const std::vector<MemberEntry> &entries, TimePoint now)
+void MemberDirectory::replaceAll(const std::vector<MemberEntry> &entries, TimePoint changedFrom, TimePoint now)
 {
     std::set<MemberName> listed;
     for (const auto &entry : entries) {
         listed.insert(entry.name);
-        put(entry);
+        put(entry, changedFrom, now);
     }
     std::vector<MemberName> missing;
     for (const auto &[name, entry] : entries_) {
@@ -24,9 +24,17 @@
     }
 }
 
-void MemberDirectory::put(const MemberEntry &entry)
+void MemberDirectory::put(const MemberEntry &entry, TimePoint changedFrom, TimePoint now)
 {
-    entries_[entry.name] = entry;
+    auto &current = entries_[entry.name];
+    const bool restarted = current.startedAt != entry.startedAt;
+    if (!entry.draining || restarted) {
+        drainingSince_.erase(entry.name);
+    }
+    if (entry.draining) {
+        drainingSince_.try_emplace(entry.name, std::max<TimePoint>(changedFrom, now - limits_.memberDrain / 2));
+    }
+    current = entry;
     removals_.erase(entry.name);
 }
 
@@ -37,6 +45,7 @@
     }
     if (now >= removalsTrustedFrom_) {
         entries_.erase(name);
+        drainingSince_.erase(name);
         removals_.erase(name);
         return;
     }
@@ -55,6 +64,7 @@
     }
     for (const auto &[name, removedAt] : removals_) {
         entries_.erase(name);
+        drainingSince_.erase(name);
     }
     removals_.clear();
     return true;
@@ -71,6 +81,12 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+std::optional<TimePoint> MemberDirectory::drainingSince(const MemberName &name) const
+{
+    const auto found = drainingSince_.find(name);
+    return found == drainingSince_.end() ? std::nullopt : std::optional<TimePoint>(found->second);
+}
+
 std::vector<MemberEntry> MemberDirectory::membersOf(const GroupName &group) const
 {
     std::vector<MemberEntry> members;
--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -35,11 +35,17 @@
     /// How long a removed entry is kept after the store last failed to reply: during an outage the entries of live members
     /// expire, and the members register again about two seconds after it.
     Milliseconds expiryGrace{2500};
+    /// How long a member serves after it announced that it drains.
+    Milliseconds memberDrain{7000};
 };
 
 /// The known members of all groups.
 ///
 /// A removed entry is kept during an outage of the store and for `expiryGrace` after it, since removals in that time are not trusted.
+///
+/// Changes are applied with the earliest time at which they may have been made: a process that starts, or whose watch was interrupted,
+/// finds members that have been draining for an unknown time. They then count as draining since that time, but for `memberDrain` / 2 at
+/// most.
 class MemberDirectory
 {
 public:
@@ -48,11 +54,11 @@
     {
     }
 
-    /// Applies the store's complete list.
-    void replaceAll(const std::vector<MemberEntry> &entries, TimePoint now);
+    /// Applies the store's complete list, whose changes were made at \a changedFrom or later.
+    void replaceAll(const std::vector<MemberEntry> &entries, TimePoint changedFrom, TimePoint now);
 
-    /// Applies one added or changed entry.
-    void put(const MemberEntry &entry);
+    /// Applies one added or changed entry, which was changed at \a changedFrom or later.
+    void put(const MemberEntry &entry, TimePoint changedFrom, TimePoint now);
 
     /// Handles the removal of \a name from the store.
     void remove(const MemberName &name, TimePoint now);
@@ -68,6 +74,9 @@
 
     [[nodiscard]] const MemberEntry *find(const MemberName &name) const;
 
+    /// Returns since when the member counts as draining; nothing while it is not draining or not known.
+    [[nodiscard]] std::optional<TimePoint> drainingSince(const MemberName &name) const;
+
     /// Returns the members of \a group, ordered by name.
     [[nodiscard]] std::vector<MemberEntry> membersOf(const GroupName &group) const;
 
@@ -79,6 +88,8 @@
 private:
     DirectoryLimits limits_;
     std::map<MemberName, MemberEntry> entries_;
+    /// Invariant: contains exactly the members of entries_ that are draining.
+    std::map<MemberName, TimePoint> drainingSince_;
     /// Entries that were removed from the store but are still kept, and when they were removed.
     std::map<MemberName, TimePoint> removals_;
     /// Removals are not trusted before this time.
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -50,6 +50,7 @@
                 found = group.pools.emplace(member.name, MemberPool(member, limits_.pool)).first;
             }
             found->second.setEntry(member);
+            found->second.leavingSince = directory.drainingSince(member.name);
             if (restarted) {
                 found->second.position = LogPosition{};
             }
@@ -64,6 +65,7 @@
                 auto drainingEntry = pool->second.entry();
                 drainingEntry.draining = true;
                 pool->second.setEntry(drainingEntry);
+                pool->second.leavingSince = pool->second.leavingSince.value_or(now);
             }
             ++pool;
         }
@@ -184,8 +186,14 @@
 {
     std::vector<GroupStats> all;
     for (const auto &[name, group] : groups_) {
-        GroupStats stats{name, group.primary, group.waiting.size()};
+        GroupStats stats;
+        stats.group = name;
+        stats.primary = group.primary;
+        stats.waiting = group.waiting.size();
         for (const auto &[member, pool] : group.pools) {
+            if (member == group.primary.member) {
+                stats.primaryLeavingSince = pool.leavingSince;
+            }
             stats.connections += pool.size();
             stats.connectionsInUse += pool.count(PooledConnectionState::InUse);
         }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -71,6 +71,8 @@
 struct GroupStats {
     GroupName group;
     CachedPrimary primary;
+    /// Since when the primary counts as draining or gone; nothing while it is neither.
+    std::optional<TimePoint> primaryLeavingSince;
     /// Number of statements that wait for a connection.
     std::size_t waiting = 0;
     /// Connections to all members of the group, those being opened included.
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -361,6 +361,13 @@
          {"configuration", static_cast<std::int64_t>(routes_.version())},
          {"generation", groupKnown ? static_cast<std::int64_t>(group->second.primary.generation) : 0},
          {"view_left_ms", groupKnown ? static_cast<std::int64_t>(wholeMilliseconds(group->second.primary.validUntil - now).count()) : 0}}};
+    if (connection != connections_.end() && groupKnown) {
+        const auto pool = group->second.pools.find(connection->second.second);
+        if (pool != group->second.pools.end() && pool->second.leavingSince) {
+            decision.fields.emplace_back("member_leaving_ms",
+                                         static_cast<std::int64_t>(wholeMilliseconds(now - *pool->second.leavingSince).count()));
+        }
+    }
     if (!caller.setupStatementId.empty()) {
         decision.fields.emplace_back("prelude", caller.setupStatementId);
     }
--- a/src/settings/sessionsettings.cpp
+++ b/src/settings/sessionsettings.cpp
@@ -38,6 +38,7 @@
     settings.stopGrace = Milliseconds{reader.number<std::int64_t>("stopGraceMs", {0, maxGraceMs}, settings.stopGrace.count())};
     settings.memberHeartbeat =
         Milliseconds{reader.number<std::int64_t>("memberHeartbeatMs", {1, maxHeartbeatMs}, settings.memberHeartbeat.count())};
+    settings.memberDrain = Milliseconds{reader.number<std::int64_t>("memberDrainMs", {1, maxGraceMs}, settings.memberDrain.count())};
     settings.configurationDeadline =
         Milliseconds{reader.number<std::int64_t>("configurationDeadlineMs", {100, maxGraceMs}, settings.configurationDeadline.count())};
     settings.newFleet = reader.boolean("newFleet", settings.newFleet);
--- a/src/settings/sessionsettings.h
+++ b/src/settings/sessionsettings.h
@@ -41,6 +41,8 @@
     Milliseconds stopGrace{6000};
     /// Time between two heartbeats of a member in the store.
     Milliseconds memberHeartbeat{1200};
+    /// How long a member serves after it announced that it drains; it gets no new work at the end of that time.
+    Milliseconds memberDrain{7000};
     /// Time within which an accepted configuration must be in force.
     Milliseconds configurationDeadline{3000};
     /// The whole fleet starts for the first time, so the store has lost none of its objects.
--- a/tests/relay/relaydriver.h
+++ b/tests/relay/relaydriver.h
@@ -49,7 +49,7 @@
         configuration.groups.push_back({GroupName{"g"}, options.memberConnections, 1});
         engine.configure(configuration, now);
         engine.setPoolCount(GroupName{"g"}, options.poolCount);
-        directory.replaceAll({member("p", "a", true), member("r1", "b", false), member("r2", "c", false)}, now);
+        directory.replaceAll({member("p", "a", true), member("r1", "b", false), member("r2", "c", false)}, now, now);
         engine.setMembers(directory, now);
         setGroupPrimary("p", 1);
         performActions();
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -394,7 +394,7 @@
     const auto now = at(0);
     engine.setPrimary(GroupName{"g"}, {MemberName{"p"}, 1, TimePoint::max(), false}, now);
     MemberDirectory directory;
-    directory.put(RelayDriver::member("p", "a", true));
+    directory.put(RelayDriver::member("p", "a", true), now, now);
     engine.setMembers(directory, now);
     engine.setPoolCount(GroupName{"g"}, 1);
     engine.wake(now + Seconds{1});
