--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -443,3 +443,29 @@
     driver.replyNext();
     cr_assert(driver.lastReply(1) != nullptr && !driver.lastReply(1)->error);
 }
+
+// The lease holder was lost just before a primary began to drain: no primary change started for seven seconds, and statements still
+// reached the primary after the time in which it may be used (incident inc1, kpv-swapdesk).
+Test(relay, noStatementReachesAPrimaryWhoseDrainTimeIsOver)
+{
+    constexpr std::int64_t drainMs = 7'000;
+    RelayDriver driver;
+    driver.open(1);
+    auto draining = RelayDriver::member("p", "a", true);
+    draining.draining = true;
+    driver.directory.put(draining, driver.now, driver.now);
+    driver.engine.setMembers(driver.directory, driver.now);
+    driver.advance(drainMs / 2);
+    driver.submit(1, StatementKind::Write);
+    cr_assert(driver.lastMember() == "p", "a draining primary serves until its successor leads");
+    driver.replyNext();
+    driver.advance(drainMs / 2);
+    const auto sent = driver.statementTargets.size();
+    driver.submit(1, StatementKind::Write);
+    driver.advance(1'000);
+    cr_assert(driver.statementTargets.size() == sent);
+    cr_assert(driver.lastReply(1)->error->kind == ErrorKind::NoPrimary);
+    driver.setGroupPrimary("r1", 2);
+    driver.submit(1, StatementKind::Write);
+    cr_assert(driver.lastMember() == "r1");
+}
--- a/tests/store/test_missedchangedetector.cpp
+++ b/tests/store/test_missedchangedetector.cpp
@@ -58,3 +58,21 @@
     revisions.advanceTo({Revision{7}, Revision{3}});
     cr_assert(revisions == (CatalogRevisions{Revision{7}, Revision{9}}));
 }
+
+// The reply to a watch, with a configuration of thousands of routes, took longer on a slow link than the grace; restarted each time,
+// it never arrived (incident inc2, kpv-swapdesk-grown).
+Test(store, aReplyThatTakesLongerThanTheGraceArrives)
+{
+    constexpr int transferMs = 900;
+    constexpr int deadlineMs = 3'000;
+    MissedChangeDetector detector(grace);
+    int startedAt = 0;
+    bool arrived = false;
+    for (int now = 0; now < deadlineMs && !arrived; now += 100) {
+        arrived = now - startedAt >= transferMs;
+        if (detector.onPeerRevision(Revision{7}, arrived ? Revision{7} : Revision{5}, at(now))) {
+            startedAt = now;
+        }
+    }
+    cr_assert(arrived);
+}
