A leaving primary gets no new statements once its drain time is nearly over

Cause: a replica that drains gets no reads at once, but a primary was used for as long as the fleet's record named it. The record changes only through a lease holder; when that machine is lost the lease is free 7 s after its last renewal, as long as the drain time itself. Nothing bounded the use of the primary meanwhile. Class: a hand-over that is expected to end in time, and no bound on the old side when it does not.

Ruled out: a slow primary change, and watches that had not shown the announcement.

Change: the engine counts how long a member has been draining or gone; a primary gets no new statement or transaction in the last second (at most a quarter) of that time, whoever leads by record. Statements then wait for the successor as without a primary. primary_drain_over tells it. The second covers what proxies see later than the store: the settle delay of a watch (250 ms), a silent watch (500 ms after a peer's report) and the statement's way.

--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -47,7 +47,7 @@
         , settingsFile_(std::move(settingsFile))
         , random_(seedOf(settings))
         , log_(1, settings.logLevel, settings.instance.text())
-        , engine_(settings.failureDomain, seedOf(settings))
+        , engine_(settings.failureDomain, seedOf(settings), engineLimitsOf(settings))
         , directory_(directoryLimitsOf(settings))
         , placement_(engine_, {settings.instance, settings.failureDomain, settings.listen.sessions})
         , epochs_(std::make_shared<StoreEpochs>())
@@ -133,6 +133,13 @@
         return stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count()));
     }
 
+    static relay::EngineLimits engineLimitsOf(const SessionSettings &settings)
+    {
+        relay::EngineLimits limits;
+        limits.memberDrain = settings.memberDrain;
+        return limits;
+    }
+
     static relay::DirectoryLimits directoryLimitsOf(const SessionSettings &settings)
     {
         relay::DirectoryLimits limits;
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -167,6 +167,7 @@
     nextMaintenance_ = now + maintenanceInterval;
     for (auto &[name, group] : groups_) {
         maintainConnections(group, now);
+        logDrainTimeOver(group, now);
         probe(group, now);
         dispatchWaiting(group, now);
     }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -62,6 +62,10 @@
     Microseconds primaryPenalty{30'000};
     /// Extra cost of a member in another failure domain.
     Microseconds remotePenalty{6'000};
+    /// How long a member serves after it announced that it drains, or after its entry was removed.
+    Milliseconds memberDrain{7'000};
+    /// The end of that time in which the member gets no new work: the announcement was seen late, and statements take time to arrive.
+    Milliseconds memberDrainMargin{1'000};
     /// Bounds of the retry-after time in refusals.
     Milliseconds minRetryAfter{20};
     Milliseconds maxRetryAfter{1'000};
@@ -219,6 +223,8 @@
         std::vector<std::pair<TimePoint, CallerKey>> waiting;
         /// The highest log position of any commit that was acknowledged to a caller.
         LogPosition acknowledged;
+        /// Generation of the primary whose drain time was logged as over; 0 for none.
+        std::uint64_t drainOverLogged = 0;
         /// When the primary's position was last probed.
         TimePoint probedAt;
         /// When a read last needed a recent log position of the primary; without such reads, the primary is not probed.
@@ -254,6 +260,9 @@
     void dispatchWaiting(Group &group, TimePoint now);
     [[nodiscard]] bool tryServe(CallerKey key, Caller &caller, Group &group, TimePoint now);
     [[nodiscard]] std::optional<LogPosition> requiredPosition(const Caller &caller, Group &group, TimePoint now) const;
+    [[nodiscard]] bool drainTimeOver(const MemberPool &pool, TimePoint now) const noexcept;
+    [[nodiscard]] bool primaryUsable(const Group &group, TimePoint now) const;
+    [[nodiscard]] bool mayGetWork(const Group &group, const MemberPool &pool, TimePoint now) const;
     [[nodiscard]] MemberPool *primaryPool(Group &group, TimePoint now);
     [[nodiscard]] MemberPool *chooseReader(const Caller &caller, Group &group, const std::optional<LogPosition> &required, TimePoint now);
     void openConnections(Group &group, TimePoint now);
@@ -285,6 +294,7 @@
                         const MemberReply &reply,
                         TimePoint now);
     void maintainConnections(Group &group, TimePoint now);
+    void logDrainTimeOver(Group &group, TimePoint now);
 
     FailureDomain ownDomain_;
     EngineLimits limits_;
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -332,7 +332,7 @@
 bool Engine::lacksPrimary(const Caller &caller, const Group &group, TimePoint now) const
 {
     const bool needed = needsPrimary(caller) || !group.history.positionCovering(caller.freshFrom - caller.route.maxStaleness);
-    return needed && !group.primary.usable(now);
+    return needed && !primaryUsable(group, now);
 }
 
 /// Returns the retry-after time of a refusal: 1 ms per waiting statement, within its bounds, and up to as much again at random, so that
--- a/src/relay/engineconnections.cpp
+++ b/src/relay/engineconnections.cpp
@@ -245,8 +245,7 @@
     connection.state = PooledConnectionState::Idle;
     connection.stateSince = now;
     auto &pool = group.pools.at(connection.member);
-    const bool memberDraining = pool.entry().draining && connection.member != group.primary.member;
-    if (memberDraining) {
+    if (!mayGetWork(group, pool, now)) {
         dropConnection(connection.key, group, pool);
         return;
     }
@@ -271,6 +270,23 @@
     actions_.emplace_back(CloseMemberConnection{key});
 }
 
+/// Logs once for each primary that its drain time is over although it still leads.
+void Engine::logDrainTimeOver(Group &group, TimePoint now)
+{
+    const auto pool = group.pools.find(group.primary.member);
+    if (pool == group.pools.end() || !drainTimeOver(pool->second, now) || group.drainOverLogged == group.primary.generation) {
+        return;
+    }
+    group.drainOverLogged = group.primary.generation;
+    actions_.emplace_back(
+        LogDecision{LogLevel::Warning,
+                    "primary_drain_over",
+                    {{"group", group.config.group.text()},
+                     {"member", group.primary.member.text()},
+                     {"generation", static_cast<std::int64_t>(group.primary.generation)},
+                     {"leaving_ms", static_cast<std::int64_t>(wholeMilliseconds(now - *pool->second.leavingSince).count())}}});
+}
+
 /// Closes connections that are silent, that did not open in time, or that are not needed.
 void Engine::maintainConnections(Group &group, TimePoint now)
 {
@@ -289,11 +305,10 @@
             connectionClosed(key, std::nullopt, now);
         }
         const auto surplusKey = pool.surplusConnection(now);
-        const bool memberDraining = pool.entry().draining && name != group.primary.member;
         if (surplusKey != 0) {
             dropConnection(surplusKey, group, pool);
         }
-        if (!memberDraining) {
+        if (mayGetWork(group, pool, now)) {
             continue;
         }
         while (auto *idle = pool.bestIdle({})) {
--- a/src/relay/enginedispatch.cpp
+++ b/src/relay/enginedispatch.cpp
@@ -62,9 +62,33 @@
     return required;
 }
 
-MemberPool *Engine::primaryPool(Group &group, TimePoint now)
+/// Returns true if the member has been draining or gone for so long that it gets no new work, even if no successor leads yet.
+bool Engine::drainTimeOver(const MemberPool &pool, TimePoint now) const noexcept
+{
+    const auto margin = std::min(limits_.memberDrainMargin, limits_.memberDrain / 4);
+    return pool.leavingSince && now - *pool.leavingSince >= limits_.memberDrain - margin;
+}
+
+/// Returns true if new statements may be sent to the group's primary.
+bool Engine::primaryUsable(const Group &group, TimePoint now) const
 {
     if (!group.primary.usable(now)) {
+        return false;
+    }
+    const auto pool = group.pools.find(group.primary.member);
+    return pool == group.pools.end() || !drainTimeOver(pool->second, now);
+}
+
+/// Returns true if connections to the member are worth keeping: it is not leaving, or it is the primary and has time left.
+bool Engine::mayGetWork(const Group &group, const MemberPool &pool, TimePoint now) const
+{
+    const bool primary = pool.entry().name == group.primary.member;
+    return !pool.entry().draining || (primary && !drainTimeOver(pool, now));
+}
+
+MemberPool *Engine::primaryPool(Group &group, TimePoint now)
+{
+    if (!primaryUsable(group, now)) {
         return nullptr;
     }
     const auto found = group.pools.find(group.primary.member);
@@ -82,7 +106,7 @@
         if (alreadyFailed || pool.count(PooledConnectionState::Idle) == 0 || !pool.usable(now)) {
             continue;
         }
-        if (primary ? !group.primary.usable(now) : pool.entry().draining) {
+        if (primary ? !primaryUsable(group, now) : pool.entry().draining) {
             continue;
         }
         if (!primary && now < pool.laggingUntil && pool.position < *required) {
@@ -113,7 +137,7 @@
     }
     for (auto &[name, pool] : group.pools) {
         const bool primary = name == group.primary.member;
-        if (primary ? !group.primary.usable(now) : pool.entry().draining) {
+        if (primary ? !primaryUsable(group, now) : pool.entry().draining) {
             continue;
         }
         // Reads go to replicas where possible, so only a quarter of the waiting ones counts for the primary.
