A watch whose reply is arriving is not restarted

Cause: a proxy whose watch had not delivered a change 0.5 s after a peer reported it abandoned the call and began it again. The reply with 4,266 routes has 0.65 MB: more than 0.5 s on a link of 10 Mbit/s. Each restart discarded what had arrived, so it never came through. Class: a time limit on the whole of a transfer whose length depends on the data, followed by a retry from the start.

Ruled out: the store (no failed call, leases renewed on time) and the processor.

--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -102,7 +102,7 @@
     /// Records that another process knows a change at \a newest; true when the watch was restarted because it missed that change.
     bool onPeerRevision(Revision newest, TimePoint now)
     {
-        return missedChanges_.onPeerRevision(newest, completeUpTo_, now) && restartWatch();
+        return missedChanges_.onPeerRevision(newest, completeUpTo_, progress().lastBytesAt, now) && restartWatch();
     }
 
     /// Lists again after \a delay, because the store changed its epoch: a watch would miss what changed in between.
@@ -121,7 +121,7 @@
 
 private:
     static constexpr Milliseconds listTimeout{1000};
-    /// A watch that does not deliver a change within this time after another process reported it is restarted.
+    /// A silent watch that does not deliver a change within this time after another process reported it is restarted.
     static constexpr Milliseconds changeGrace{500};
 
     bool restartWatch()
