A reply that is arriving is not cut at the call's timeout

What callers would see: a proxy that starts on a slow link, or while many others list at once, never becomes ready: a listing of the configuration with thousands of routes takes longer than the 1 s that a listing may take, and is begun anew each time. A watch that gets its change at the end of its wait has 1 s for the transfer, too.

Change: the timeout of a call is a bound on the time without any reply; once a response arrives, it ends when no bytes come for 1 s. Times from which leases are counted are taken before a call starts, so a longer call shortens what it proves.

Test: platform/aListingThatArrivesSlowlyIsNotCutAtItsTimeout, fails without the change (listed && *listed is false).

--- a/src/evloop/httpclient.cpp
+++ b/src/evloop/httpclient.cpp
@@ -21,6 +21,8 @@
 /// a byte, but a lost connection must be detected within seconds.
 constexpr Milliseconds peerTimeout{3000};
 constexpr Seconds keepAliveIdle{1};
+/// A response stalls when no bytes arrive for this time.
+constexpr Milliseconds responseStallTimeout{1000};
 
 } // namespace
 
@@ -82,13 +84,7 @@
     }
     exchange->request.prepare_payload();
     const auto self = shared_from_this();
-    exchange->timer.expires_after(exchange->pending.timeout);
-    exchange->timer.async_wait([self, exchange](const error_code &error) {
-        if (!error) {
-            const auto kind = exchange->sent ? ErrorKind::StoreOutcomeUnknown : ErrorKind::StoreUnavailable;
-            self->finish(exchange, Error{kind, "no reply within " + std::to_string(exchange->pending.timeout.count()) + " ms"}, false);
-        }
-    });
+    setTimeout(exchange, exchange->pending.timeout);
     if (socket_) {
         write(exchange);
         return;
@@ -107,6 +103,24 @@
     });
 }
 
+/// Ends the exchange after \a timeout, unless its response is arriving then.
+void HttpClient::setTimeout(const std::shared_ptr<Exchange> &exchange, Microseconds timeout)
+{
+    exchange->timer.expires_after(timeout);
+    exchange->timer.async_wait([self = shared_from_this(), exchange](const error_code &error) {
+        if (error || exchange->finished) {
+            return;
+        }
+        const auto quietFor = bootTimeNow() - exchange->progress.lastBytesAt;
+        if (quietFor < responseStallTimeout) {
+            self->setTimeout(exchange, responseStallTimeout - quietFor);
+            return;
+        }
+        const auto kind = exchange->sent ? ErrorKind::StoreOutcomeUnknown : ErrorKind::StoreUnavailable;
+        self->finish(exchange, Error{kind, "no reply within " + std::to_string(exchange->pending.timeout.count()) + " ms"}, false);
+    });
+}
+
 void HttpClient::abandon()
 {
     if (const auto exchange = current_.lock(); exchange && busy_) {
--- a/src/evloop/httpclient.h
+++ b/src/evloop/httpclient.h
@@ -57,7 +57,8 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Queues \a call; \a done is called once. \a timeout is measured from the start of the call, not from its queueing.
+    /// Queues \a call; \a done is called once. \a timeout is measured from the start of the call, not from its queueing. A response that
+    /// is still arriving then is waited for until it is complete or stalls.
     void call(HttpCall call, Milliseconds timeout, Handler done);
 
     /// Ends the current call, if any, with ErrorKind::StoreOutcomeUnknown.
@@ -81,6 +82,7 @@
     };
 
     void startNext();
+    void setTimeout(const std::shared_ptr<Exchange> &exchange, Microseconds timeout);
     void write(const std::shared_ptr<Exchange> &exchange);
     void read(const std::shared_ptr<Exchange> &exchange);
     void onResponse(const std::shared_ptr<Exchange> &exchange);
