Only an announced departure bounds the use of a primary

What callers saw: with members cut off from the store alone, statements for primaries were refused from six seconds after their entries had expired until the cut ended, though the members were served and reachable.

Cause: the bound on draining primaries: also counted from the removal of an entry. An entry that expired for want of heartbeats is no announcement, and the member answers under its own id on each connection.

Tried and dropped: a primary change for a primary whose entry is gone for 2.5 s (nothing showed that callers need it, and the successors' entries were mostly gone, too).

Test: relay/aPrimaryWhoseEntryExpiredIsUsedWhileItReplies, fails without the change.

--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -65,7 +65,6 @@
                 auto drainingEntry = pool->second.entry();
                 drainingEntry.draining = true;
                 pool->second.setEntry(drainingEntry);
-                pool->second.leavingSince = pool->second.leavingSince.value_or(now);
             }
             ++pool;
         }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -62,7 +62,7 @@
     Microseconds primaryPenalty{30'000};
     /// Extra cost of a member in another failure domain.
     Microseconds remotePenalty{6'000};
-    /// How long a member serves after it announced that it drains, or after its entry was removed.
+    /// How long a member serves after it announced that it drains.
     Milliseconds memberDrain{7'000};
     /// The end of that time in which the member gets no new work: the announcement was seen late, and statements take time to arrive.
     Milliseconds memberDrainMargin{1'000};
@@ -75,7 +75,7 @@
 struct GroupStats {
     GroupName group;
     CachedPrimary primary;
-    /// Since when the primary counts as draining or gone; nothing while it is neither.
+    /// When the primary announced that it drains; nothing unless it did.
     std::optional<TimePoint> primaryLeavingSince;
     /// Number of statements that wait for a connection.
     std::size_t waiting = 0;
@@ -95,7 +95,7 @@
     /// Applies \a configuration; ignored unless it is newer than the active one.
     void configure(const Configuration &configuration, TimePoint now);
     /// Applies the directory to all groups known so far; a member that is no longer listed counts as draining until its connections are
-    /// closed.
+    /// closed. A primary whose entry expired announced nothing, so it is used until a successor leads.
     void setMembers(const MemberDirectory &directory, TimePoint now);
     /// Sets the group's cached primary; statements that wait for it are sent as soon as it is usable.
     void setPrimary(const GroupName &group, const CachedPrimary &primary, TimePoint now);
--- a/src/relay/enginedispatch.cpp
+++ b/src/relay/enginedispatch.cpp
@@ -62,7 +62,7 @@
     return required;
 }
 
-/// Returns true if the member has been draining or gone for so long that it gets no new work, even if no successor leads yet.
+/// Returns true if the member announced its departure so long ago that it gets no new work, even if no successor leads yet.
 bool Engine::drainTimeOver(const MemberPool &pool, TimePoint now) const noexcept
 {
     const auto margin = std::min(limits_.memberDrainMargin, limits_.memberDrain / 4);
--- a/src/relay/memberpool.h
+++ b/src/relay/memberpool.h
@@ -182,7 +182,7 @@
 
     /// The member's log position as last reported; replicas only.
     LogPosition position;
-    /// Since when the member counts as draining or gone; nothing while it is neither.
+    /// When the member announced that it drains, as far as known; nothing unless it did.
     std::optional<TimePoint> leavingSince;
     /// Until when reads beyond `position` are not sent to the member, after its log lagged behind the position that a read needed.
     TimePoint laggingUntil;
--- a/tests/relay/test_engine.cpp
+++ b/tests/relay/test_engine.cpp
@@ -469,3 +469,18 @@
     driver.submit(1, StatementKind::Write);
     cr_assert(driver.lastMember() == "r1");
 }
+
+// Members that were cut off from the store alone served on, but the bound on draining primaries counted their expired entries as
+// announcements: callers were refused for as long as the cut lasted (own day members-cut-off-from-the-store).
+Test(relay, aPrimaryWhoseEntryExpiredIsUsedWhileItReplies)
+{
+    RelayDriver driver;
+    driver.open(1);
+    driver.submit(1, StatementKind::Write);
+    driver.replyNext();
+    driver.directory.remove(MemberName{"p"}, driver.now);
+    driver.engine.setMembers(driver.directory, driver.now);
+    driver.advance(20'000);
+    driver.submit(1, StatementKind::Write);
+    cr_assert(driver.lastMember() == "p" && !driver.requests.empty());
+}
