Listings and watches of the proxy's own store client end when they stall, not at a fixed time

What operators would see: a proxy with many records that starts where its link is slow never learns the configuration: the listing of all records (11 MB at 22,000 databases of 500 bytes) takes 9 s at 10 Mbit/s, the call was cut after 3 s and begun anew.

Change: http::Connection takes an optional time between two pieces of a response, and the store client sets it for replies whose size depends on the number of records. Statements, writes and single reads keep their strict timeout.

Tests: http/aResponseThatIsArrivingOutlivesTheTimeout; withoutAStallTimeoutTheTimeoutCoversTheWholeResponse is the same exchange as before the change, which times out.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -72,6 +72,18 @@
         context.run();
     }
 
+    /// Reads the next piece of a response until \a parser has all of it; sets \a error.
+    void readPieces(beast::http::response_parser<beast::http::string_body> &parser, Milliseconds stallTimeout, beast::error_code &error)
+    {
+        beast::http::async_read_some(stream, buffer, parser, [this, &parser, stallTimeout, &error](beast::error_code result, std::size_t) {
+            error = result;
+            if (!error && !parser.is_done()) {
+                stream.expires_after(stallTimeout);
+                readPieces(parser, stallTimeout, error);
+            }
+        });
+    }
+
     void close() noexcept
     {
         beast::error_code ignored;
@@ -141,7 +153,7 @@
     return impl_->open;
 }
 
-ExchangeResult Connection::exchange(const Request &request, Milliseconds timeout)
+ExchangeResult Connection::exchange(const Request &request, Milliseconds timeout, std::optional<Milliseconds> stallTimeout)
 {
     if (!checkOpen()) {
         const auto connected = connect(timeout);
@@ -154,6 +166,7 @@
     auto message = toBeast(request, impl_->remote);
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(maxResponseBytes);
+    parser.eager(true);
     beast::error_code error;
     impl_->stream.expires_after(timeout);
     beast::http::async_write(impl_->stream, message, [&](beast::error_code writeError, std::size_t) {
@@ -161,6 +174,10 @@
         if (writeError) {
             return;
         }
+        if (stallTimeout) {
+            impl_->readPieces(parser, *stallTimeout, error);
+            return;
+        }
         beast::http::async_read(impl_->stream, impl_->buffer, parser, [&](beast::error_code readError, std::size_t) { error = readError; });
     });
     impl_->run();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -63,8 +63,11 @@
 
     /// Sends \a request and waits for the complete response; connects first if the connection is not open or the server has closed it.
     ///
-    /// \a timeout applies to the connect and to the exchange separately, so a call may take twice as long.
-    [[nodiscard]] ExchangeResult exchange(const Request &request, Milliseconds timeout);
+    /// \a timeout applies to the connect and to the exchange separately, so a call may take twice as long. With a \a stallTimeout, it
+    /// bounds the time until the response begins, and from then on the time between two pieces of the response is bounded by
+    /// \a stallTimeout: for responses whose size depends on the data.
+    [[nodiscard]] ExchangeResult
+    exchange(const Request &request, Milliseconds timeout, std::optional<Milliseconds> stallTimeout = std::nullopt);
 
     /// Closes the connection.
     void close() noexcept;
--- a/src/store/storeclient.cpp
+++ b/src/store/storeclient.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t maxIdleConnections = 8;
 /// Time beyond a watch's own wait after which its connection counts as silent.
 constexpr Milliseconds watchMargin{1000};
+/// A reply of many objects counts as lost when none of it arrives for this time.
+constexpr Milliseconds listingStallTimeout{1000};
 
 std::string objectPath(const ObjectKey &key)
 {
@@ -109,11 +111,11 @@
     }
 
     /// Sends \a request once.
-    http::ExchangeResult exchange(http::Request request, Milliseconds timeout)
+    http::ExchangeResult exchange(http::Request request, Milliseconds timeout, std::optional<Milliseconds> stallTimeout = std::nullopt)
     {
         request.headers["x-from"] = options.instance.text() + "/" + options.domain.text();
         auto connection = acquireConnection();
-        auto result = connection->exchange(request, std::max(timeout, Milliseconds{1}));
+        auto result = connection->exchange(request, std::max(timeout, Milliseconds{1}), stallTimeout);
         releaseConnection(std::move(connection));
         if (!result.response) {
             const std::lock_guard lock(mutex);
@@ -125,16 +127,18 @@
     }
 
     /// Performs one read; any status but 200 and \a alsoAccepted is a StoreUnavailable error, like a missing reply.
-    Result<http::Response> read(http::Request request, Milliseconds timeout, int alsoAccepted = statusOk)
+    /// With a \a stallTimeout, a reply that is arriving at the end of \a timeout is waited for until it is complete or stalls.
+    Result<http::Response>
+    read(http::Request request, Milliseconds timeout, int alsoAccepted = statusOk, std::optional<Milliseconds> stallTimeout = std::nullopt)
     {
         const auto wait = waitForCall(CallKind::Read, steadyNow() + timeout);
         if (wait.count() > 0) {
             return Error{ErrorKind::StoreUnavailable, "the budget of calls to the store is used up"}.withRetryAfter(wait);
         }
-        auto result = exchange(request, timeout);
+        auto result = exchange(request, timeout, stallTimeout);
         const bool connectionMayHaveBeenClosed = !result.response && !result.failure.timedOut && !result.failure.refused;
         if (connectionMayHaveBeenClosed && reserveCall(CallKind::Read).count() == 0) {
-            result = exchange(std::move(request), timeout);
+            result = exchange(std::move(request), timeout, stallTimeout);
         }
         if (!result.response) {
             return Error{ErrorKind::StoreUnavailable, result.failure.description}.withRetryAfter(options.attemptTimeout);
@@ -221,7 +225,7 @@
 Result<StoreListing> StoreClient::list(const ObjectKind &kind, Milliseconds timeout)
 {
     const auto path = kind.empty() ? std::string("/v1/objects") : "/v1/objects/" + kind.text();
-    const auto response = impl_->read({"GET", path, {}, {}, {}}, timeout);
+    const auto response = impl_->read({"GET", path, {}, {}, {}}, timeout, statusOk, listingStallTimeout);
     if (!response) {
         return response.error();
     }
@@ -269,7 +273,7 @@
     http::Request request{"GET", "/v1/watch", {}, {}, {}};
     request.query["after"] = std::to_string(after.value);
     request.query["waitMs"] = std::to_string(wait.count());
-    const auto response = impl_->read(std::move(request), wait + watchMargin, statusGone);
+    const auto response = impl_->read(std::move(request), wait + watchMargin, statusGone, listingStallTimeout);
     if (!response) {
         return response.error();
     }
@@ -281,7 +285,7 @@
 
 Result<std::vector<ListedInstance>> StoreClient::instances(Milliseconds timeout)
 {
-    const auto response = impl_->read({"GET", "/v1/instances", {}, {}, {}}, timeout);
+    const auto response = impl_->read({"GET", "/v1/instances", {}, {}, {}}, timeout, statusOk, listingStallTimeout);
     if (!response) {
         return response.error();
     }
--- a/src/store/storeclient.h
+++ b/src/store/storeclient.h
@@ -40,9 +40,9 @@
 
 /// Client of the store for the I/O layers.
 ///
-/// Each call blocks for at most its timeout. A call that the budget does not allow in that time is refused with StoreUnavailable and a
-/// retry-after. A read is sent again once when a reused connection turns out to be closed; WriteResolution determines the outcome of
-/// writes.
+/// Each call blocks for at most its timeout; a listing, a watch or an instance list that is arriving then, until it is complete or stalls.
+/// A call that the budget does not allow in that time is refused with StoreUnavailable and a retry-after. A read is sent again once when a
+/// reused connection turns out to be closed; WriteResolution determines the outcome of writes.
 ///
 /// Example:
 /// \code
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -78,6 +78,50 @@
     std::thread thread_;
 };
 
+// Replies to one request in pieces, with a pause after each.
+class SlowServer
+{
+public:
+    SlowServer(std::string body, std::size_t pieceBytes, Milliseconds pause)
+        : response_("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
+        , pieceBytes_(pieceBytes)
+        , pause_(pause)
+        , acceptor_(context_, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , thread_([this] { serve(); })
+    {
+    }
+    ~SlowServer()
+    {
+        thread_.join();
+    }
+    Address address() const
+    {
+        return Address{"127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())};
+    }
+
+private:
+    void serve()
+    {
+        Tcp::socket socket(context_);
+        acceptor_.accept(socket);
+        boost::asio::streambuf buffer;
+        boost::asio::read_until(socket, buffer, "\r\n\r\n");
+        boost::system::error_code closed;
+        while (!response_.empty() && !closed) {
+            boost::asio::write(socket, boost::asio::buffer(response_.substr(0, pieceBytes_)), closed);
+            response_.erase(0, pieceBytes_);
+            std::this_thread::sleep_for(pause_);
+        }
+    }
+
+    std::string response_;
+    std::size_t pieceBytes_;
+    Milliseconds pause_;
+    boost::asio::io_context context_;
+    Tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
 } // namespace
 
 Test(http, requestAndResponseArriveComplete)
@@ -159,3 +203,25 @@
         cr_assert(!http::parseAddress(Address{text}), "accepted %s", text);
     }
 }
+
+// A listing of all records took longer than a call's timeout on a slow link, and was begun anew each time (same class as incident inc2).
+Test(http, aResponseThatIsArrivingOutlivesTheTimeout)
+{
+    const std::string body(2'000, 'x');
+    constexpr std::size_t pieceBytes = 200;
+    constexpr Milliseconds shortTimeout{60};
+    SlowServer server(body, pieceBytes, Milliseconds{20});
+    http::Connection connection(server.address());
+    const auto result = connection.exchange({"GET", "/", {}, {}, {}}, shortTimeout, timeout);
+    cr_assert(result.response && result.response->body == body);
+}
+
+// An endpoint's reply must not outlast its statement, however steadily it arrives.
+Test(http, withoutAStallTimeoutTheTimeoutCoversTheWholeResponse)
+{
+    constexpr std::size_t pieceBytes = 200;
+    SlowServer server(std::string(2'000, 'x'), pieceBytes, Milliseconds{20});
+    http::Connection connection(server.address());
+    const auto result = connection.exchange({"GET", "/", {}, {}, {}}, Milliseconds{60});
+    cr_assert(!result.response && result.failure.timedOut);
+}
