Gossip: a peer whose reply did not arrive in time gets twice the time

What operators would see: a proxy that starts while the store is away, on a slow link, never gets the configuration: the reply of a peer holds the whole state (11 MB at 22,000 databases), and each exchange was cut after 0.5 s and begun anew.

Change: the time for a peer's reply doubles with each consecutive failure, from 0.5 to 8 s, by peer, so that dead peers hold up no others.

Test: gossip/aReplyThatTakesLongerThanTheTimeoutGetsMoreTimeNextTime; the fixed 0.5 s of the code before cannot pass it.

--- a/src/app/configurationservice.cpp
+++ b/src/app/configurationservice.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::size_t exchangeThreads = 4;
 constexpr Milliseconds tickPeriod{200};
-constexpr Milliseconds exchangeTimeout{500};
 constexpr Milliseconds listTimeout{3'000};
 /// Longest sleep before the next store step is determined again: new input may change it meanwhile.
 constexpr Milliseconds maxStoreDelay{200};
@@ -167,7 +166,7 @@
 void ConfigurationService::send(const SendExchange &exchange)
 {
     const bool added = tasks_ && tasks_->add([this, exchange] {
-        const auto result = peers_.gossip(exchange.to.address, exchange.message, exchangeTimeout);
+        const auto result = peers_.gossip(exchange.to.address, exchange.message, exchange.timeout);
         std::unique_lock taskLock(mutex_);
         if (const auto *reply = std::get_if<GossipMessage>(&result)) {
             const auto actions = gossip_.onReply(exchange.id, *reply, steadyNow());
--- a/src/configuration/gossip.cpp
+++ b/src/configuration/gossip.cpp
@@ -86,6 +86,7 @@
     for (auto entry = domainRevisions_.begin(); entry != domainRevisions_.end();) {
         entry = isLiveDomain(entry->first) ? std::next(entry) : domainRevisions_.erase(entry);
     }
+    exchangeTimeouts_.retain(*live_);
     freshness_.setListed(std::max(listedDomains, domains_.size()), !localPeers_.empty() || !remoteWatchers_.empty());
 }
 
@@ -132,6 +133,7 @@
     }
     const auto exchange = std::move(found->second);
     exchanges_.erase(found);
+    exchangeTimeouts_.onReply(exchange.to);
     const auto before = state_.digest();
     if (reply.delta) {
         publish(state_.applyDelta(*reply.delta), before, now, actions);
@@ -146,7 +148,12 @@
 
 void ConfigurationGossip::onExchangeFailed(ExchangeId id)
 {
-    exchanges_.erase(id);
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    exchangeTimeouts_.onFailed(found->second.to);
+    exchanges_.erase(found);
 }
 
 StoreStep ConfigurationGossip::nextStoreStep(TimePoint now)
@@ -291,7 +298,7 @@
     exchanges_[id] = {peer.name, peer.domain, peer.address, now, newestOf(delta)};
     auto request = message();
     request.delta = std::move(delta);
-    actions.push_back(SendExchange{id, peer, std::move(request)});
+    actions.push_back(SendExchange{id, peer, std::move(request), exchangeTimeouts_.of(peer.name)});
 }
 
 void ConfigurationGossip::publish(std::vector<StoredObject> applied,
--- a/src/configuration/gossip.h
+++ b/src/configuration/gossip.h
@@ -5,6 +5,7 @@
 
 #include "base/random.h"
 #include "configuration/configurationfreshness.h"
+#include "configuration/exchangetimeouts.h"
 #include "configuration/state.h"
 #include "membership/rendezvous.h"
 #include "store/watchresume.h"
@@ -49,6 +50,8 @@
     ExchangeId id;
     LiveInstance to;
     GossipMessage message;
+    /// Time for the reply.
+    Milliseconds timeout{0};
 };
 
 /// These changes are in force here from now on.
@@ -82,6 +85,9 @@
     std::size_t maxPushBytes = std::size_t{64} << 10U;
     /// The maximum number of exchanges under way; further ones are skipped.
     std::size_t maxExchanges = 64;
+    /// Time for the reply of a peer, and the longest after failures.
+    Milliseconds exchangeTimeout{500};
+    Milliseconds maxExchangeTimeout{8000};
     /// Age of the newest confirmation from which a proxy that is not a watcher queries the store itself.
     Milliseconds queryStoreAfter{5000};
     ConfigurationFreshnessOptions freshness;
@@ -214,6 +220,7 @@
     bool isIntermediate_ = false;
     /// Invariant: at most `options_.maxExchanges` entries.
     std::map<ExchangeId, Exchange> exchanges_;
+    ExchangeTimeouts exchangeTimeouts_{options_.exchangeTimeout, options_.maxExchangeTimeout};
     std::uint64_t lastExchangeId_ = 0;
     std::optional<TimePoint> nextComparisonAt_;
     /// Time from which this proxy queries the store without being a watcher; nothing while its confirmation is recent.
--- a/tests/configuration/test_gossip.cpp
+++ b/tests/configuration/test_gossip.cpp
@@ -362,3 +362,33 @@
     cr_assert(during < 1000);
     cr_assert(peakStoreCallsPerSecond(fleet) < 1000);
 }
+
+// A proxy that starts without the store gets the whole state in one reply: cut after half a second each time, it never arrived on a slow
+// link (same class as incident inc2).
+Test(gossip, aReplyThatTakesLongerThanTheTimeoutGetsMoreTimeNextTime)
+{
+    GossipOptions options;
+    options.self = InstanceName{"a"};
+    options.domain = FailureDomain{"east"};
+    ConfigurationGossip gossip(options);
+    const LiveInstance self{options.self, options.domain, Address{"10.0.0.1:1"}};
+    const LiveInstance peer{InstanceName{"b"}, options.domain, Address{"10.0.0.2:1"}};
+    gossip.setInstances(std::make_shared<InstanceSet>(std::vector<LiveInstance>{self, peer}), 1);
+    TimePoint now{Seconds{100}};
+    constexpr Milliseconds transfer{3'000};
+    bool arrived = false;
+    for (int attempt = 0; attempt < 5 && !arrived; ++attempt) {
+        const auto actions = gossip.tick(now);
+        const auto &exchange = std::get<SendExchange>(actions.front());
+        arrived = exchange.timeout >= transfer;
+        if (!arrived) {
+            gossip.onExchangeFailed(exchange.id);
+        } else {
+            (void)gossip.onReply(exchange.id, GossipMessage{peer.name, peer.domain, {}, {}, {}, {}}, now);
+        }
+        now += options.comparisonInterval * 2;
+    }
+    cr_assert(arrived);
+    const auto after = gossip.tick(now);
+    cr_assert(std::get<SendExchange>(after.front()).timeout == options.exchangeTimeout, "a reply ends the series");
+}
