A page of a listing without readable objects does not end the listing

What callers would see: an entry may come from another writer and be unreadable. A whole page of such entries, or a page that ends with one, made the listing of the members end early, or start its next page too early; the members after it counted as gone and got no more work.

Cause: the next page was asked for after the last readable object, and only if the page had one.

Change: the next page starts after the last name of the page, readable or not; a listing that cannot be continued fails and is repeated.

--- a/tests/platform/test_damagedinput.cpp
+++ b/tests/platform/test_damagedinput.cpp
@@ -64,9 +64,8 @@
          {"replica 3 3.1209 0 12 2 17", "primary 4 4.99999999999 0 0 0 0"}},
         {"listing",
          [kind](const std::string &text) {
-             bool more = false;
-             if (const auto decoded = decodeListing(kind, StoreEpoch{3}, text, more)) {
-                 for (const auto &object : decoded->objects) {
+             if (const auto decoded = decodeListing(kind, StoreEpoch{3}, text)) {
+                 for (const auto &object : decoded->listing.objects) {
                      (void)decodeMember(object.name, object.value);
                      (void)leadership::decodeFleetObject(object);
                  }
@@ -155,11 +154,8 @@
 Test(damagedinput, deeplyNestedValuesAreRejected)
 {
     constexpr std::size_t depth = 400'000;
-    bool more = false;
-    const auto page = decodeListing(ObjectKind{"servers"},
-                                    StoreEpoch{},
-                                    nested(R"({"items":[{"meta":{"name":"a","revision":4},"spec":)", R"(}],"asOf":9})", depth),
-                                    more);
+    const auto page = decodeListing(
+        ObjectKind{"servers"}, StoreEpoch{}, nested(R"({"items":[{"meta":{"name":"a","revision":4},"spec":)", R"(}],"asOf":9})", depth));
     cr_assert(!page);
     cr_assert(!decodeConfiguration(nested(R"({"version":7,"routes":)", "}", depth)));
     cr_assert(!decodeMember(ObjectName{"a"}, nested(R"({"service":)", "}", depth)));
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -121,13 +121,13 @@
 
 Test(platform, decodesListingsAndChanges)
 {
-    bool more = false;
     const ObjectKind kind{"servers"};
-    const auto listing = decodeListing(
-        kind, StoreEpoch{}, R"({"items":[{"meta":{"name":"a","revision":4},"spec":{"x":1}},{"odd":1}],"more":true,"asOf":9})", more);
-    cr_assert(listing && more && listing->revision.value == 9 && listing->objects.size() == 1);
+    const auto page = decodeListing(
+        kind, StoreEpoch{}, R"({"items":[{"meta":{"name":"a","revision":4},"spec":{"x":1}},{"odd":1}],"more":true,"asOf":9})");
+    cr_assert(page && page->more && page->listing.revision.value == 9 && page->listing.objects.size() == 1);
+    cr_assert(page->last == ObjectName{"a"});
     const auto changes = decodeChanges(
         kind, Revision{9}, R"({"events":[{"deleted":true,"object":{"meta":{"name":"a","revision":10},"spec":null}}],"asOf":10})");
     cr_assert(changes && changes->changes.size() == 1 && changes->changes.front().deleted);
-    cr_assert(!decodeListing(kind, StoreEpoch{}, "{\"items\":", more));
+    cr_assert(!decodeListing(kind, StoreEpoch{}, "{\"items\":"));
 }
