Soak: drained members, large configurations on narrow paths, and the configuration's deadline are checked

Its leaving member was ready again after 7 s and nothing counted what reached it; its configurations were tiny, its paths unlimited, and it did not check when they were in force.

Larger fleets (more than 16) keep small configurations and skip the check of drained members, since sessions are forwarded there.

Planted violations in test_soak: four more cases.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -60,7 +60,7 @@
         now = self.caller.clock()
         fresh_from = self.fresh_from if self.transaction else now
         own = self.own_commit if self.route.sees_own_writes else None
-        sent = SentStatement(self.caller.name, text, self.route, now, fresh_from, self.transaction, dict(self.values), dict(self.prepared), own)
+        sent = SentStatement(self.caller.name, text, self.route, now, fresh_from, self.transaction, dict(self.values), dict(self.prepared), own, self.proxy)
         self.caller.checker.record_sent(identifier, sent)
 
     async def run(self, text):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from fleet import MEMBER_DRAIN_S
 from platform_standins import Outage
 from relay import RelayFault
 
@@ -253,13 +254,13 @@
 
 
 async def replace_primary(world):
-    """Makes a primary report that it is leaving, so that it is replaced while it still serves."""
+    """Makes a primary report that it is leaving, so that it is replaced while it still serves, and serves a little longer than it must."""
     group = world.group()
     leader = group.leader
     if len(group.running()) < len(group.members) or leader.state != "ready":
         return
     leader.state = "draining"
-    await asyncio.sleep(7.0)
+    await asyncio.sleep(MEMBER_DRAIN_S + 2.0)
     leader.state = "ready"
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,6 +17,11 @@
 STOP_GRACE_S = 6.0
 # A proxy counts as undisturbed this long after the last fault at any proxy or in the system.
 SETTLE_S = 4.0
+# Every third proxy has a narrow path from the store.
+NARROW_BYTES_PER_S = 1_250_000
+# How long a member serves after it announced that it drains, and the time in which a configuration must be in force.
+MEMBER_DRAIN_S = 7.0
+CONFIGURATION_DEADLINE_S = 3.0
 # In larger fleets only paths to members and services are relayed: the number of paths between proxies is quadratic.
 MAX_RELAYED_PROXIES = 16
 
@@ -50,7 +55,8 @@
             "promotions": f"127.0.0.1:{promotions_port}",
             "stopGraceMs": int(STOP_GRACE_S * 1000),
             "memberHeartbeatMs": 1200,
-            "configurationDeadlineMs": 3000,
+            "memberDrainMs": int(MEMBER_DRAIN_S * 1000),
+            "configurationDeadlineMs": int(CONFIGURATION_DEADLINE_S * 1000),
             "newFleet": new_fleet,
         }
         with open(self.settings_file, "w", encoding="utf-8") as file:
@@ -69,7 +75,8 @@
 
     async def start(self, store_port_of, promotions_port):
         for proxy in self.proxies:
-            store = await Relay("store", store_port_of[proxy.name]).start()
+            narrow = proxy.index % 3 == 2
+            store = await Relay("store", store_port_of[proxy.name], NARROW_BYTES_PER_S if narrow else None).start()
             proxy.relays["store"] = store
             promotions = await Relay("promotions", promotions_port).start()
             proxy.relays["promotions"] = promotions
@@ -114,6 +121,11 @@
         else:
             proxy.disturbed_until = max(proxy.disturbed_until, until)
 
+    def undisturbed(self, proxy, at):
+        """Returns true if the last fault of the system and of the proxy ended more than SETTLE_S before `at`."""
+        started = proxy.started_at + SETTLE_S < at and proxy.stopping_since is None
+        return started and max(self.disturbed_until, proxy.disturbed_until) + SETTLE_S < at
+
     def stopping_undisturbed(self, proxy, since):
         """Returns true while a graceful stop of the proxy has time left, if all faults ended more than SETTLE_S before `since`.
 
--- a/tests/soak/guaranteechecker.py
+++ b/tests/soak/guaranteechecker.py
@@ -11,9 +11,9 @@
 class SentStatement:
     """A statement as its caller sent it."""
 
-    __slots__ = ("caller", "text", "route", "at", "fresh_from", "transaction", "values", "prepared", "own_commit", "runs", "result")
+    __slots__ = ("caller", "text", "route", "at", "fresh_from", "transaction", "values", "prepared", "own_commit", "runs", "result", "proxy")
 
-    def __init__(self, caller, text, route, at, fresh_from, transaction, values, prepared, own_commit):
+    def __init__(self, caller, text, route, at, fresh_from, transaction, values, prepared, own_commit, proxy=None):
         self.caller = caller
         self.text = text
         self.route = route
@@ -25,6 +25,8 @@
         self.prepared = prepared
         # The session's last acknowledged commit, which the read must see; None if the route doesn't guarantee that.
         self.own_commit = own_commit
+        # The proxy to which it was sent.
+        self.proxy = proxy
         self.runs = []
         self.result = None
 
@@ -32,8 +34,12 @@
 class GuaranteeChecker:
     """Records statements sent, runs at members and answers, and collects each violation of a guarantee."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, member_drain_s=None, undisturbed=lambda proxy, at: True):
         self.clock = clock
+        # How long a member may get new work after the store accepted that it is draining; None if that is not checked. It is checked for
+        # proxies without a recent fault, `undisturbed(proxy, at)`.
+        self.member_drain_s = member_drain_s
+        self.undisturbed = undisturbed
         self.sent = {}
         self.send_order = collections.deque()
         self.violations = []
@@ -45,6 +51,8 @@
         self.waived = set()
         self.last_token = 0
         self.last_holder = ""
+        # By member name: when the store accepted that the member is draining.
+        self.draining_since = {}
         self.counts = collections.Counter()
 
     def add_violation(self, guarantee, description):
@@ -88,6 +96,13 @@
 
     # Events at members
 
+    def published(self, member, state):
+        """Records that the store accepted a member's entry."""
+        if state == "draining":
+            self.draining_since.setdefault(member.name, self.clock())
+        else:
+            self.draining_since.pop(member.name, None)
+
     # Records a statement that a member ran, and compares it with what its caller sent.
     def ran(self, connection, identifier, text, access, signature, rows):
         member = connection.member
@@ -97,6 +112,7 @@
             return
         sent.runs.append((signature, tuple(rows)))
         self._check_text(sent, identifier, text, connection)
+        self._check_not_drained(sent, identifier, connection)
         self._check_session(sent, identifier, connection)
         if access == statements.READ:
             self._check_fresh(sent, identifier, member)
@@ -111,6 +127,16 @@
         if not same:
             self.add_violation("another statement", f"{identifier}: {sent.text} ran as {text}")
 
+    def _check_not_drained(self, sent, identifier, connection):
+        member, transaction = connection.member, connection.transaction
+        begins = transaction is None or transaction["owner"] is None
+        since = self.draining_since.get(member.name)
+        if self.member_drain_s is None or since is None or not begins:
+            return
+        drains_for = self.clock() - since
+        if drains_for > self.member_drain_s and self.undisturbed(sent.proxy, sent.at):
+            self.add_violation("drained member", f"{identifier} reached {member.name} {drains_for:.2f} s after it announced to drain")
+
     def _check_session(self, sent, identifier, connection):
         if connection.values != sent.values:
             self.add_violation("session values", f"{identifier}: {connection.values} instead of {sent.values}")
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -19,8 +19,10 @@
 class Relay:
     """Forwards connections from its own port to a target port."""
 
-    def __init__(self, name, target_port):
+    def __init__(self, name, target_port, bytes_per_s=None):
         self.name = name
+        # Bandwidth of each connection from the target; None for no limit.
+        self.bytes_per_s = bytes_per_s
         self.target_port = target_port
         self.port = 0
         self.fault = RelayFault.NONE
@@ -97,6 +99,8 @@
                     await asyncio.sleep(self.relay.delay_s)
                 while self._is_blocked(to_target):
                     await asyncio.sleep(0.02)
+                if self.relay.bytes_per_s and not to_target:
+                    await asyncio.sleep(len(data) / self.relay.bytes_per_s)
                 sink.write(data)
                 await sink.drain()
             if sink.can_write_eof():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 import faults  # noqa: E402
 import fleet as fleets  # noqa: E402
 from callers import Caller, Route  # noqa: E402
+from configurationcheck import ConfigurationCheck  # noqa: E402
 from platform_standins import (  # noqa: E402
     DatabaseGroup,
     ObjectStore,
@@ -44,6 +45,7 @@
 # Callers must be served again this long after the last fault ended.
 RECOVERY_S = 12.0
 WARM_UP_S = 4.0
+ROUTES_PER_CHANGE = 1400
 
 
 def acquire_slot():
@@ -69,6 +71,9 @@
         self.loop = asyncio.get_running_loop()
         self.started = self.loop.time()
         self.checker = GuaranteeChecker(self.clock)
+        # In larger fleets a proxy forwards sessions, so the entry proxy is not the one that sends to the member; and configurations stay
+        # small, since one Python process serves them.
+        self.small = options.processes <= fleets.MAX_RELAYED_PROXIES
         self.tasks = []
         self.fault_log = []
         self.faults_ended_at = None
@@ -88,10 +93,14 @@
         program = os.path.join(options.build, "cardamomstep")
         fleet = fleets.Fleet(options.processes, ZONES, program, self.folder, self.clock)
         store_ports = await self._serve_store(store, fleet)
+        if self.small:
+            self.checker.member_drain_s = fleets.MEMBER_DRAIN_S
+            self.checker.undisturbed = fleet.undisturbed
         await fleet.relay_peers()
         await fleet.start(store_ports, self.promotions_port)
         await fleet.relay_members([member.port for group in groups for member in group.members.values()])
         self._spawn(fleet.probe())
+        self._spawn(ConfigurationCheck(fleet, operator, self.checker, self.clock).watch())
         try:
             return await self._run_faults(fleet, groups, store, promotions, operator)
         finally:
@@ -118,7 +127,7 @@
 
     async def _start_platform(self, groups):
         store = self.store = ObjectStore(self.random)
-        operator = Operator(store, groups, self.random)
+        operator = Operator(store, groups, self.random, growth=ROUTES_PER_CHANGE if self.small else 0)
         await operator.change()
         self._spawn(keep_entries(store, groups))
         promotions = Promotions(groups, self.checker)
@@ -133,7 +142,8 @@
 
             async def handle(request, proxy=proxy):
                 reply = await store.handle(request, proxy.name)
-                if reply.body is None or request.method != "GET":
+                holds_no_addresses = "/config" in request.path
+                if reply.body is None or request.method != "GET" or holds_no_addresses:
                     return reply
                 body = json.loads(fleet.translate(proxy, json.dumps(reply.body)))
                 return Response(reply.status, body, headers=reply.headers)
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -9,6 +9,7 @@
 SOAK = os.path.join(HERE, "..", "soak")
 sys.path.insert(0, SOAK)
 
+from configurationcheck import ConfigurationCheck  # noqa: E402
 from platform_standins import Commit  # noqa: E402
 from guaranteechecker import GuaranteeChecker, SentStatement  # noqa: E402
 from verdicts import check, check_equal, run_cases  # noqa: E402
@@ -217,6 +218,67 @@
     scenario.expect_violation("fencing token")
 
 
+# A leaving primary was used for longer than its drain time while no process held the lease (incident inc1).
+def catches_a_statement_at_a_drained_member():
+    scenario = Scenario()
+    scenario.checker.member_drain_s = 7.0
+    scenario.checker.published(scenario.leader, "draining")
+    scenario.now = 16.9
+    scenario.send("r1", "READ i")
+    scenario.run("r1", "READ i")
+    check_equal(scenario.checker.violations, [], "violations within the drain time")
+    scenario.now = 17.1
+    scenario.send("r2", "READ i")
+    scenario.run("r2", "READ i")
+    scenario.expect_violation("drained member")
+
+
+def allows_an_open_transaction_at_a_drained_member():
+    scenario = Scenario()
+    scenario.checker.member_drain_s = 7.0
+    scenario.checker.published(scenario.leader, "draining")
+    transaction = {"owner": None}
+    scenario.send("r1", "READ i", transaction="t1")
+    scenario.run("r1", "READ i", transaction=transaction)
+    scenario.now = 18.0
+    scenario.send("r2", "READ i", transaction="t1")
+    scenario.run("r2", "READ i", transaction=transaction)
+    check_equal(scenario.checker.violations, [], "violations")
+
+
+class ConfigurationScenario(Scenario):
+    """A proxy whose version in force is judged; the event loop's clock equals the scenario's."""
+
+    def __init__(self):
+        super().__init__()
+        self.proxy = SimpleNamespace(name="proxy-0", started_at=1.0)
+        fleet = SimpleNamespace(undisturbed=lambda proxy, at: True)
+        self.operator = SimpleNamespace(accepted=[(10.0, 5), (12.0, 7)])
+        self.configuration = ConfigurationCheck(fleet, self.operator, self.checker, lambda: self.now)
+
+    def shows(self, version, at):
+        self.configuration.judge(self.proxy, at, at, version)
+
+
+# A proxy on a narrow path never received a large configuration (incident inc2).
+def catches_a_configuration_that_is_late():
+    scenario = ConfigurationScenario()
+    scenario.shows(5, 14.9)
+    check_equal(scenario.checker.violations, [], "violations before the deadline")
+    scenario.shows(5, 15.1)
+    scenario.expect_violation("configuration late")
+
+
+def catches_a_configuration_that_goes_back():
+    scenario = ConfigurationScenario()
+    scenario.shows(7, 12.5)
+    scenario.proxy.started_at = 12.6
+    scenario.shows(5, 12.7)
+    check_equal(scenario.checker.violations, [], "violations after a restart")
+    scenario.shows(2, 12.8)
+    scenario.expect_violation("configuration went back")
+
+
 def short_run_with_faults_has_no_violations():
     command = [sys.executable, "-B", os.path.join(SOAK, "soak.py"), sys.argv[1]]
     options = ["--seed", SEED, "--seconds", SECONDS_OF_FAULTS, "--processes", 5, "--callers", 10]
@@ -247,6 +309,10 @@
                 catches_an_acknowledged_write_missing_at_the_end,
                 catches_a_decreasing_fencing_token,
                 catches_two_holders_of_one_fencing_token,
+                catches_a_statement_at_a_drained_member,
+                allows_an_open_transaction_at_a_drained_member,
+                catches_a_configuration_that_is_late,
+                catches_a_configuration_that_goes_back,
                 short_run_with_faults_has_no_violations,
             ]
         )
