--- a/tests/configuration/test_gossip.cpp
+++ b/tests/configuration/test_gossip.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <cstdio>
 #include <cstdlib>
 
 using namespace cardamomstep;
@@ -294,7 +295,7 @@
         totalBytes += fleet.bytesOf(node);
         peakBytes = std::max(peakBytes, fleet.bytesOf(node));
     }
-    cr_log_warn("%zu watchers; store calls a second: at most %zu", watchers, peakCalls);
+    std::printf("%zu watchers; store calls a second: at most %zu\n", watchers, peakCalls);
     fleet.run(inForceWithin);
     double slowest = 0;
     for (int change = 0; change < changes; ++change) {
@@ -302,7 +303,7 @@
         slowest = std::max(slowest, secondsOf(fleet.lastInForceAt[revision] - fleet.changedAt[revision]));
         cr_assert(fleet.proxiesHolding(revision, "changed-" + std::to_string(change)) == fleet.size());
     }
-    cr_log_warn("bytes a second in and out: mean %.0f, most loaded proxy %.0f; slowest change in force after %.2f s",
+    std::printf("bytes a second in and out: mean %.0f, most loaded proxy %.0f; slowest change in force after %.2f s\n",
                 static_cast<double>(totalBytes) / span / static_cast<double>(fleet.size()),
                 static_cast<double>(peakBytes) / span,
                 slowest);
@@ -336,7 +337,7 @@
     fleet.run(Seconds{10});
     cr_assert(fleet.proxiesHolding(revision, "changed") == fleet.size());
     cr_assert(fleet.countIn(ConfigurationFreshnessState::Current) == fleet.size());
-    cr_log_warn("caught up %.2f s after the partition healed; store calls a second: at most %zu",
+    std::printf("caught up %.2f s after the partition healed; store calls a second: at most %zu\n",
                 secondsOf(fleet.lastInForceAt[revision] - healedAt),
                 peakStoreCallsPerSecond(fleet));
     cr_assert(peakStoreCallsPerSecond(fleet) < 2000);
@@ -358,7 +359,7 @@
     fleet.storeDown = false;
     fleet.run(Seconds{15});
     cr_assert(fleet.countIn(ConfigurationFreshnessState::Current) == fleet.size());
-    cr_log_warn("store calls a second: at most %zu in the outage, at most %zu after it", during, peakStoreCallsPerSecond(fleet));
+    std::printf("store calls a second: at most %zu in the outage, at most %zu after it\n", during, peakStoreCallsPerSecond(fleet));
     cr_assert(during < 1000);
     cr_assert(peakStoreCallsPerSecond(fleet) < 1000);
 }
--- a/tests/membership/test_view.cpp
+++ b/tests/membership/test_view.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <queue>
 #include <set>
@@ -266,9 +267,9 @@
     const auto perNode = static_cast<double>(fleet.messages) / 60 / 7;
     const auto busiest = static_cast<double>(*std::max_element(fleet.bytes.begin(), fleet.bytes.end())) / 60;
     const auto times = killAndMeasure(fleet, 2);
-    cr_log_warn(
+    std::printf(
         "7 proxies: %.2f messages sent per second, %.0f bytes per second in and out at the busiest; death detected by the first after "
-        "%.1f s, by all after %.1f s",
+        "%.1f s, by all after %.1f s\n",
         perNode,
         busiest,
         times.untilFirst,
@@ -425,7 +426,7 @@
     for (const auto count : fleet.bytes) {
         total += count;
     }
-    cr_log_warn("3,500 proxies: %.2f messages sent per second, %.0f bytes per second in and out on average, %.0f at the busiest",
+    std::printf("3,500 proxies: %.2f messages sent per second, %.0f bytes per second in and out on average, %.0f at the busiest\n",
                 static_cast<double>(fleet.messages) / span / size,
                 static_cast<double>(total) / span / size,
                 busiest);
@@ -446,7 +447,9 @@
         half = half == 0 && naming <= 0.5 ? elapsed : half;
     }
     const auto all = secondsOf(fleet.now - killedAt);
-    cr_log_warn(
-        "of 100 sampled proxies, the first stops naming a dead owner after %.1f s, half after %.1f s, all after %.1f s", first, half, all);
+    std::printf("of 100 sampled proxies, the first stops naming a dead owner after %.1f s, half after %.1f s, all after %.1f s\n",
+                first,
+                half,
+                all);
     cr_assert(all < 20);
 }
--- a/tests/store/test_watchresume.cpp
+++ b/tests/store/test_watchresume.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <queue>
 
 using namespace cardamomstep;
@@ -149,7 +150,7 @@
     const auto end = perSecond.begin() + outageEnd.count();
     const auto peak = *std::max_element(end, perSecond.end());
     const auto duringOutage = *std::max_element(end - 60, end);
-    cr_log_warn("calls a second: at most %d in the last minute of the outage, at most %d after its end", duringOutage, peak);
+    std::printf("calls a second: at most %d in the last minute of the outage, at most %d after its end\n", duringOutage, peak);
     cr_assert(peak < storeReadsPerSecond);
     cr_assert(duringOutage < storeReadsPerSecond / 2);
 }
