A peer whose connections break does not count as refusing them

What operators would see: a live proxy that closes connections (no free descriptors, a failed TLS handshake) is suspected at once, without asking other proxies, as if its process were down; its groups move to other owners sooner than they should.

Cause: the client took each failed connection of the channel for a refused one; the channel's state does not tell them apart.

Change: when a channel has failed, one plain connection shows whether the address refuses.

Test: peer/aListenerThatClosesConnectionsDoesNotRefuse, fails on the code before; anAddressWithoutAListenerRefuses passes on both.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -57,7 +57,8 @@
 
 cardamomstep_library(groups base)
 cardamomstep_test(groups)
-cardamomstep_library(peer base peerwire groups configuration membership)
+cardamomstep_library(peer base http peerwire groups configuration membership)
+cardamomstep_test(peer)
 cardamomstep_library(connections base)
 cardamomstep_test(connections)
 
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -4,6 +4,7 @@
 #include "peer/generated/peer.grpc.pb.h"
 #include "peer/impl/channels.h"
 #include "peer/impl/peercodec.h"
+#include "peer/impl/refusal.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -14,6 +15,9 @@
 
 namespace {
 
+/// Time for the connection that shows why there is none.
+constexpr Milliseconds refusalTimeout{200};
+
 std::chrono::system_clock::time_point deadlineAfter(Microseconds span)
 {
     return std::chrono::system_clock::now() + std::max(span, Microseconds{0});
@@ -38,7 +42,9 @@
     {
         const auto channel = channels.channelTo(peer);
         if (!channel->WaitForConnected(deadlineAfter(std::min(timeout, connectTimeout)))) {
-            const bool refused = channel->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE;
+            // The channel's state does not tell a refused connection from one that was reset or whose handshake failed.
+            const bool failed = channel->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE;
+            const bool refused = failed && impl::refusesConnections(peer, refusalTimeout);
             return Failure{true, refused, "cannot connect to " + peer.text()};
         }
         const auto stub = impl::wire::Peer::NewStub(channel);
--- a/src/peer/client.h
+++ b/src/peer/client.h
@@ -23,7 +23,7 @@
 struct Failure {
     /// True if the request was not sent, because there was no connection to the peer.
     bool notSent = false;
-    /// True if the last attempt to connect failed, as when the peer's address refuses connections.
+    /// True if the peer's address refuses connections: no process listens there.
     bool refused = false;
     std::string description;
 };
