A full log buffer does not grow

While nobody reads the output, the report of dropped lines was appended each second although the buffer was full, and counted as reported: memory grew without a bound, and the count was lost. It is now appended once there is room, with all lines dropped until then.

Tests: logging/aFullBufferDoesNotGrow, droppedLinesAreReportedOnceThereIsRoom; both fail on the code before.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -34,6 +34,7 @@
 cardamomstep_library(configuration base store membership)
 cardamomstep_test(configuration)
 cardamomstep_library(logging base settings Boost::log)
+cardamomstep_test(logging)
 cardamomstep_library(metrics base)
 
 # The data path for callers whose session is a connection, and its event loop.
--- a/src/logging/boundedlog.cpp
+++ b/src/logging/boundedlog.cpp
@@ -34,13 +34,13 @@
     if (now - windowStart_ >= rateWindow) {
         windowStart_ = now;
         linesInWindow_ = 0;
-        if (dropped_ != lastReportedDropped_) {
+        if (dropped_ != lastReportedDropped_ && !isFull()) {
             append(LogLevel::Warning, "log_dropped", {{"lines", static_cast<std::int64_t>(dropped_ - lastReportedDropped_)}});
             lastReportedDropped_ = dropped_;
         }
     }
     const bool overRate = level < LogLevel::Warning && ++linesInWindow_ > limits_.linesPerSecond;
-    if (overRate || buffer_.size() >= limits_.bufferBytes) {
+    if (overRate || isFull()) {
         ++dropped_;
         return;
     }
--- a/src/logging/boundedlog.h
+++ b/src/logging/boundedlog.h
@@ -45,6 +45,11 @@
     }
 
 private:
+    [[nodiscard]] bool isFull() const noexcept
+    {
+        return buffer_.size() >= limits_.bufferBytes;
+    }
+
     void append(LogLevel level, std::string_view event, const std::vector<LogField> &fields);
 
     int descriptor_;
