A limit of 0 is refused

A listing with limit=0 returned one record and a name to continue from. Numbers in queries now have a lowest value as well. Test: operators/aLimitOfZeroIsRefused, fails on the code before.

--- a/src/operators/answers.cpp
+++ b/src/operators/answers.cpp
@@ -203,7 +203,7 @@
 
 http::Response listAnswer(const Catalog &catalog, RecordKind kind, const http::Request &request)
 {
-    const auto limit = numberParameter(request, "limit", maxPageRecords, maxPageRecords);
+    const auto limit = numberParameter(request, "limit", maxPageRecords, {1, maxPageRecords});
     if (!limit) {
         return failureAnswer({limit.error()});
     }
@@ -225,7 +225,7 @@
 http::Response
 statusAnswer(const InstanceName &self, const Catalog &catalog, const std::vector<ProxyInfo> &proxies, const http::Request &request)
 {
-    const auto behind = numberParameter(request, "behind", UINT64_MAX, UINT64_MAX);
+    const auto behind = numberParameter(request, "behind", UINT64_MAX, {0, UINT64_MAX});
     if (!behind) {
         return failureAnswer({behind.error()});
     }
--- a/src/operators/api.h
+++ b/src/operators/api.h
@@ -196,8 +196,8 @@
 
     [[nodiscard]] http::Response watch(const http::Request &request)
     {
-        const auto after = numberParameter(request, "after", 0, UINT64_MAX);
-        const auto wait = numberParameter(request, "waitMs", 0, maxWatchMs);
+        const auto after = numberParameter(request, "after", 0, {0, UINT64_MAX});
+        const auto wait = numberParameter(request, "waitMs", 0, {0, maxWatchMs});
         if (!after || !wait) {
             return failureAnswer({!after ? after.error() : wait.error()});
         }
--- a/src/operators/change.cpp
+++ b/src/operators/change.cpp
@@ -151,8 +151,8 @@
     }
     filter.name = request.parameter("name");
     filter.who = request.parameter("who");
-    const auto since = numberParameter(request, "since", 0, INT64_MAX);
-    const auto limit = numberParameter(request, "limit", defaultHistoryLimit, maxHistoryLimit);
+    const auto since = numberParameter(request, "since", 0, {0, INT64_MAX});
+    const auto limit = numberParameter(request, "limit", defaultHistoryLimit, {1, maxHistoryLimit});
     if (!since || !limit) {
         return !since ? since.error() : limit.error();
     }
--- a/src/operators/route.cpp
+++ b/src/operators/route.cpp
@@ -125,15 +125,15 @@
     return route;
 }
 
-Result<std::uint64_t> numberParameter(const http::Request &request, const std::string &name, std::uint64_t fallback, std::uint64_t highest)
+Result<std::uint64_t> numberParameter(const http::Request &request, const std::string &name, std::uint64_t fallback, NumberRange range)
 {
     const auto text = request.parameter(name);
     if (text.empty()) {
         return fallback;
     }
     const auto value = parseNumber(text);
-    if (!value || *value > highest) {
-        return malformed(name + ": expected a whole number from 0 to " + std::to_string(highest));
+    if (!value || *value < range.lowest || *value > range.highest) {
+        return malformed(name + ": expected a whole number from " + std::to_string(range.lowest) + " to " + std::to_string(range.highest));
     }
     return *value;
 }
--- a/src/operators/route.h
+++ b/src/operators/route.h
@@ -45,11 +45,17 @@
 /// Parses \a request; the error is ErrorKind::NotFound for an unknown path or kind, else ErrorKind::MalformedRequest.
 [[nodiscard]] Result<Route> readRoute(const http::Request &request);
 
+/// The allowed values of a number in a query.
+struct NumberRange {
+    std::uint64_t lowest = 0;
+    std::uint64_t highest = 0;
+};
+
 /// Returns the whole number \a name of the query; \a fallback when it is missing.
 ///
-/// The error is ErrorKind::MalformedRequest when it is not a number from 0 to \a highest.
+/// The error is ErrorKind::MalformedRequest when it is not a number in \a range.
 [[nodiscard]] Result<std::uint64_t>
-numberParameter(const http::Request &request, const std::string &name, std::uint64_t fallback, std::uint64_t highest);
+numberParameter(const http::Request &request, const std::string &name, std::uint64_t fallback, NumberRange range);
 
 /// True when \a request has \a token as its bearer token.
 ///
--- a/tests/operators/test_operators.cpp
+++ b/tests/operators/test_operators.cpp
@@ -379,3 +379,15 @@
     });
     cr_assert(holds);
 }
+
+// A limit of 0 returned one record, so a client that asks for no records got one and a name to continue from.
+Test(operators, aLimitOfZeroIsRefused)
+{
+    Fixture fixture;
+    cr_assert(fixture.send("PUT", groupPath, groupText("g", 3)).status == 200);
+    for (const char *path : {"/v1/records/DatabaseGroup", "/v1/history"}) {
+        const auto response = fixture.send("GET", path, {}, {}, {{"limit", "0"}});
+        cr_assert(body(response)["error"] == "malformed-request", "%s", path);
+        cr_assert(fixture.send("GET", path, {}, {}, {{"limit", "1"}}).status == 200, "%s", path);
+    }
+}
