--- a/src/entry/callercodec.cpp
+++ b/src/entry/callercodec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -112,8 +113,8 @@
 void readCommon(json::ObjectReader &reader, const CallerLimits &limits, Statement &statement)
 {
     statement.window = readWindow(reader, limits);
-    // A token that is one byte too long passes here: readStatement() reports it as TooLarge.
-    statement.session = reader.optionalText("session", {0, limits.tokenBytes + 1}).value_or("");
+    // A token that is too long passes here: readStatement() reports it as TooLarge.
+    statement.session = reader.optionalText("session", {0, std::numeric_limits<std::size_t>::max()}).value_or("");
     statement.requestId = RequestId{reader.optionalText("requestId", {1, limits.nameBytes}).value_or("")};
 }
 
