A line connection reports its close once

Each further line for a peer that does not read was reported as another close. Read through: harmless so far, since both owners drop their handlers at the first report; the contract now says and keeps it. Test: platform/aConnectionReportsItsCloseOnce, fails on the code before.

--- a/src/evloop/lineconnection.cpp
+++ b/src/evloop/lineconnection.cpp
@@ -4,6 +4,7 @@
 #include "http/address.h"
 
 #include <netinet/tcp.h>
+#include <utility>
 
 namespace cardamomstep::evloop {
 
@@ -190,7 +191,7 @@
     if (reason == CloseReason::Closed) {
         abort();
     }
-    if (handler) {
+    if (handler && !std::exchange(closeReported_, true)) {
         handler(reason);
     }
 }
--- a/src/evloop/lineconnection.h
+++ b/src/evloop/lineconnection.h
@@ -50,7 +50,7 @@
 
     /// Starts to read; \a onLine gets each line without its end.
     ///
-    /// \a onClose is called when the peer closes the connection or it breaks, and when a limit is exceeded; in the latter case
+    /// \a onClose is called once, when the peer closes the connection or it breaks, or when a limit is exceeded; in the latter case
     /// the connection stays open until the handler's owner closes it.
     void start(LineHandler onLine, CloseHandler onClose);
 
@@ -96,6 +96,7 @@
     bool reading_ = false;
     bool closing_ = false;
     bool closed_ = false;
+    bool closeReported_ = false;
 };
 
 /// Sets the options of \a socket that detect an unreachable peer within seconds, also while nothing is sent; disables Nagle's algorithm.
