Fields and forward declarations that nothing uses are removed

Route::priority and Configuration::messageBytes of the relay were decoded and never read; ConfigurationDigest::floor was never compared or sent; three forward declarations named types that do not exist. limits.callerConnections stays: removing a documented setting would refuse existing files.

--- a/src/cli/fwd.h
+++ b/src/cli/fwd.h
@@ -6,7 +6,6 @@
 enum class ExitCode : int;
 struct Subcommand;
 struct ClientOptions;
-struct Reply;
 class CommandLine;
 class OperatorClient;
 
--- a/src/configuration/state.h
+++ b/src/configuration/state.h
@@ -23,8 +23,6 @@
     Revision highest;
     /// Hash over kind, name and version of all known objects; equal for equal objects.
     std::uint64_t hash = 0;
-    /// A peer whose `complete` is below this revision needs all objects instead of single changes.
-    Revision floor;
 
     [[nodiscard]] bool operator==(const ConfigurationDigest &) const = default;
 
@@ -113,7 +111,7 @@
     /// Returns the digest that peers compare.
     [[nodiscard]] ConfigurationDigest digest() const noexcept
     {
-        return {complete_, highest_, hash_, floor_};
+        return {complete_, highest_, hash_};
     }
 
     /// The number of objects held.
--- a/src/connections/fwd.h
+++ b/src/connections/fwd.h
@@ -3,7 +3,6 @@
 
 namespace cardamomstep {
 
-struct Holder;
 class ConnectionQuota;
 class ConnectionPool;
 class SilenceDetector;
--- a/src/relay/routingtable.h
+++ b/src/relay/routingtable.h
@@ -32,8 +32,6 @@
     Milliseconds statementTimeout{1000};
     /// Time within which an operation should be answered.
     Milliseconds latencyObjective{250};
-    /// 0 is the highest priority.
-    std::uint32_t priority = 0;
 
     [[nodiscard]] bool operator==(const Route &) const = default;
 };
@@ -57,8 +55,6 @@
     std::vector<GroupConfig> groups;
     /// A transaction that is idle for longer may be ended.
     Milliseconds transactionIdle{3000};
-    /// Largest message of a caller in bytes.
-    std::size_t messageBytes = std::size_t{1} << 20U;
 };
 
 /// The active configuration; it is never replaced by an older version.
--- a/src/status/fwd.h
+++ b/src/status/fwd.h
@@ -5,7 +5,6 @@
 
 struct EndpointPlan;
 struct PlanObservation;
-struct PendingStatus;
 class StatusQueue;
 
 } // namespace cardamomstep
