Only pings find out whether a peer refuses connections

Reading again: its extra connection, up to 0.2 s towards a silent address, was made for statements as well, beyond their time.

--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -42,10 +42,7 @@
     {
         const auto channel = channels.channelTo(peer);
         if (!channel->WaitForConnected(deadlineAfter(std::min(timeout, connectTimeout)))) {
-            // The channel's state does not tell a refused connection from one that was reset or whose handshake failed.
-            const bool failed = channel->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE;
-            const bool refused = failed && impl::refusesConnections(peer, refusalTimeout);
-            return Failure{true, refused, "cannot connect to " + peer.text()};
+            return Failure{true, false, "cannot connect to " + peer.text()};
         }
         const auto stub = impl::wire::Peer::NewStub(channel);
         grpc::ClientContext context;
@@ -53,6 +50,14 @@
         return call(*stub, context);
     }
 
+    /// Returns true if the address of a peer whose channel has failed refuses connections: the channel's state does not tell a refused
+    /// connection from one that was reset or whose handshake failed.
+    bool isRefused(const Address &peer)
+    {
+        const bool failed = channels.channelTo(peer)->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE;
+        return failed && impl::refusesConnections(peer, refusalTimeout);
+    }
+
     impl::Channels channels;
 };
 
@@ -79,7 +84,7 @@
 PeerResult<Ping> Client::ping(const Address &peer, const Ping &ping, Milliseconds timeout)
 {
     const auto request = impl::encode(ping);
-    return impl_->run<Ping>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<Ping> {
+    auto result = impl_->run<Ping>(peer, timeout, timeout, [&request](auto &stub, auto &context) -> PeerResult<Ping> {
         impl::wire::PingMessage reply;
         const auto status = stub.Ping(&context, request, &reply);
         if (!status.ok()) {
@@ -87,6 +92,10 @@
         }
         return impl::decode(reply);
     });
+    if (auto *failure = std::get_if<Failure>(&result); failure != nullptr && failure->notSent) {
+        failure->refused = impl_->isRefused(peer);
+    }
+    return result;
 }
 
 PeerResult<std::vector<SharedUpdate>> Client::snapshot(const Address &peer, Milliseconds timeout)
--- a/src/peer/client.h
+++ b/src/peer/client.h
@@ -23,7 +23,7 @@
 struct Failure {
     /// True if the request was not sent, because there was no connection to the peer.
     bool notSent = false;
-    /// True if the peer's address refuses connections: no process listens there.
+    /// True if the peer's address refuses connections: no process listens there. Found out for pings only, since it takes time.
     bool refused = false;
     std::string description;
 };
