Gossip waits long for a peer only while it has no configuration

Reading again: four threads make the exchanges, so a few silent peers with 8 s each would have held up the push of changes, which is to be in force within seconds. The longer time now applies only to a proxy that has no configuration yet and cannot serve anyway.

Test: gossip/aProxyWithAConfigurationDoesNotWaitLongForSilentPeers.

--- a/src/configuration/exchangetimeouts.h
+++ b/src/configuration/exchangetimeouts.h
@@ -10,10 +10,9 @@
 
 namespace cardamomstep {
 
-/// The timeout for the next exchange with each peer.
+/// The timeout for the next exchange with each peer, for a proxy that needs the full state.
 ///
-/// It doubles with each consecutive failure: the reply of a peer may contain the full state, which a fixed timeout would cut each time
-/// on a slow link.
+/// It doubles with each consecutive failure: a fixed timeout would cut the reply each time on a slow link.
 class ExchangeTimeouts
 {
 public:
--- a/src/configuration/gossip.cpp
+++ b/src/configuration/gossip.cpp
@@ -298,7 +298,10 @@
     exchanges_[id] = {peer.name, peer.domain, peer.address, now, newestOf(delta)};
     auto request = message();
     request.delta = std::move(delta);
-    actions.push_back(SendExchange{id, peer, std::move(request), exchangeTimeouts_.of(peer.name)});
+    // Only a proxy without a configuration waits long: each exchange occupies a thread, and a change must not wait behind silent peers.
+    const bool starting = freshness_.state(now) == ConfigurationFreshnessState::Starting;
+    const auto timeout = starting ? exchangeTimeouts_.of(peer.name) : options_.exchangeTimeout;
+    actions.push_back(SendExchange{id, peer, std::move(request), timeout});
 }
 
 void ConfigurationGossip::publish(std::vector<StoredObject> applied,
--- a/src/configuration/gossip.h
+++ b/src/configuration/gossip.h
@@ -85,7 +85,7 @@
     std::size_t maxPushBytes = std::size_t{64} << 10U;
     /// The maximum number of exchanges under way; further ones are skipped.
     std::size_t maxExchanges = 64;
-    /// Time for the reply of a peer, and the longest after failures.
+    /// Time for the reply of a peer, and the longest after failures while this proxy has no configuration.
     Milliseconds exchangeTimeout{500};
     Milliseconds maxExchangeTimeout{8000};
     /// Age of the newest confirmation from which a proxy that is not a watcher queries the store itself.
--- a/tests/configuration/test_gossip.cpp
+++ b/tests/configuration/test_gossip.cpp
@@ -393,3 +393,26 @@
     const auto after = gossip.tick(now);
     cr_assert(std::get<SendExchange>(after.front()).timeout == options.exchangeTimeout, "a reply ends the series");
 }
+
+// Each exchange occupies one of a few threads: with long timeouts for silent peers, changes would not be pushed in time.
+Test(gossip, aProxyWithAConfigurationDoesNotWaitLongForSilentPeers)
+{
+    GossipOptions options;
+    options.self = InstanceName{"a"};
+    options.domain = FailureDomain{"east"};
+    ConfigurationGossip gossip(options);
+    const LiveInstance self{options.self, options.domain, Address{"10.0.0.1:1"}};
+    const LiveInstance peer{InstanceName{"b"}, options.domain, Address{"10.0.0.2:1"}};
+    gossip.setInstances(std::make_shared<InstanceSet>(std::vector<LiveInstance>{self, peer}), 1);
+    TimePoint now{Seconds{100}};
+    StoreListing listing;
+    listing.revision = Revision{1};
+    (void)gossip.onListing(listing, now, now);
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        const auto actions = gossip.tick(now);
+        const auto &exchange = std::get<SendExchange>(actions.front());
+        cr_assert(exchange.timeout == options.exchangeTimeout);
+        gossip.onExchangeFailed(exchange.id);
+        now += options.comparisonInterval * 2;
+    }
+}
