A stopping process sends its last answer before it ends

Cause: the answer of a session that ends with it is queued, the session is closed, and the process ends when no session is left and it accepts no more, 2.75 s after SIGTERM: in the same call, before the event loop has written the answer. Sessions mostly end earlier, so it takes a last one that is served after 2.75 s.

--- a/src/evloop/lineconnection.h
+++ b/src/evloop/lineconnection.h
@@ -70,6 +70,12 @@
     /// Closes the connection immediately; queued bytes are discarded.
     void abort();
 
+    /// Returns true once the connection is closed: after closeWhenSent(), when all queued bytes are written.
+    [[nodiscard]] bool isClosed() const noexcept
+    {
+        return closed_;
+    }
+
 private:
     void read();
     void onReceived(std::size_t count);
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -81,6 +81,12 @@
         dropUpstream();
     }
 
+    /// True once all output was sent and the connection is closed.
+    [[nodiscard]] bool isClosed() const noexcept
+    {
+        return connection_->isClosed();
+    }
+
     /// True while another proxy serves the session.
     [[nodiscard]] bool forwarded() const noexcept
     {
--- a/src/gateway/callerconnections.h
+++ b/src/gateway/callerconnections.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -79,6 +80,7 @@
         const auto connection = caller->second;
         callers_.erase(caller);
         connection->close();
+        keepWhileSending(connection);
         engine_.callerClosed(action.caller, evloop::bootTimeNow());
         handlers_.ended();
     }
@@ -99,17 +101,29 @@
         }
         for (const auto &caller : idle) {
             caller->close();
+            keepWhileSending(caller);
         }
     }
 
+    /// The number of connections with a session, and of those whose last output is still being sent while the process stops.
     [[nodiscard]] std::size_t size() const noexcept
     {
-        return callers_.size();
+        const auto sending = std::count_if(sending_.begin(), sending_.end(), [](const auto &caller) { return !caller->isClosed(); });
+        return callers_.size() + static_cast<std::size_t>(sending);
     }
 
 private:
     using Caller = CallerConnection<Wire>;
 
+    /// Counts a connection that is being closed until its output was sent: a process that ends before would lose the last answer.
+    void keepWhileSending(const std::shared_ptr<Caller> &caller)
+    {
+        std::erase_if(sending_, [](const auto &closing) { return closing->isClosed(); });
+        if (engine_.draining() && !caller->isClosed()) {
+            sending_.push_back(caller);
+        }
+    }
+
     CallerConnectionHandlers handlersOf(relay::CallerKey key, bool fromProxy)
     {
         CallerConnectionHandlers handlers;
@@ -139,7 +153,11 @@
             handlers_.perform();
         };
         handlers.closed = [this, key] {
-            callers_.erase(key);
+            if (const auto caller = callers_.find(key); caller != callers_.end()) {
+                const auto connection = caller->second;
+                callers_.erase(caller);
+                keepWhileSending(connection);
+            }
             engine_.callerClosed(key, evloop::bootTimeNow());
             handlers_.perform();
             handlers_.ended();
@@ -164,6 +182,8 @@
     ProxyMetrics &metrics_;
     CallerConnectionsHandlers handlers_;
     std::unordered_map<relay::CallerKey, std::shared_ptr<Caller>> callers_;
+    /// Connections that were closed while the process stops, until their output was sent.
+    std::vector<std::shared_ptr<Caller>> sending_;
     relay::CallerKey nextKey_ = 1;
     /// While the process stops, when the transactions of forwarded sessions are ended.
     TimePoint transactionsUntil_;
