--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -3,12 +3,11 @@
 
 #include "evloop/clock.h"
 #include "evloop/lineconnection.h"
-#include "gateway/forwardtarget.h"
+#include "gateway/callerconnectionhandlers.h"
 #include "relay/forwardedsession.h"
 #include "relay/wire.h"
 
 #include <algorithm>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,23 +15,6 @@
 
 namespace cardamomstep::gateway {
 
-/// Callbacks of a CallerConnection.
-struct CallerConnectionHandlers {
-    /// Opens the session in this process; on an error the caller is refused and the connection closed.
-    std::function<Result<Success>(const relay::DatabaseName &database)> opened;
-    std::function<void(const relay::SessionStatement &statement)> statement;
-    /// The connection ended; not called after close().
-    std::function<void()> closed;
-    /// The proxy to forward the session to; std::nullopt when this process serves it.
-    std::function<std::optional<ForwardTarget>(const relay::DatabaseName &database)> forward;
-    /// A proxy could not be reached, refused the session, closed its connection or did not reply.
-    std::function<void(const Address &proxy)> forwardFailed;
-    /// A session served by this process was ended while idle, so that the caller's next one is forwarded to \a proxy.
-    std::function<void(const Address &proxy)> redirected;
-    /// Resumes in this process a session whose proxy was lost; false when that is not possible.
-    std::function<bool(const relay::CallerSession &session)> adopted;
-};
-
 /// One caller's connection; statements are reported one at a time, the next one after reply().
 ///
 /// A session that another proxy serves is forwarded line by line; that proxy's lines are returned to the caller unchanged.
--- /dev/null
+++ b/src/gateway/callerconnectionhandlers.h
@@ -0,0 +1,31 @@
+// What a caller's connection asks of its process and reports to it.
+#pragma once
+
+#include "base/result.h"
+#include "gateway/forwardtarget.h"
+#include "relay/callersession.h"
+#include "relay/message.h"
+
+#include <functional>
+#include <optional>
+
+namespace cardamomstep::gateway {
+
+/// Callbacks of a CallerConnection.
+struct CallerConnectionHandlers {
+    /// Opens the session in this process; on an error the caller is refused and the connection closed.
+    std::function<Result<Success>(const relay::DatabaseName &database)> opened;
+    std::function<void(const relay::SessionStatement &statement)> statement;
+    /// The connection ended; not called after close().
+    std::function<void()> closed;
+    /// The proxy to forward the session to; std::nullopt when this process serves it.
+    std::function<std::optional<ForwardTarget>(const relay::DatabaseName &database)> forward;
+    /// A proxy could not be reached, refused the session, closed its connection or did not reply.
+    std::function<void(const Address &proxy)> forwardFailed;
+    /// A session served by this process was ended while idle, so that the caller's next one is forwarded to \a proxy.
+    std::function<void(const Address &proxy)> redirected;
+    /// Resumes in this process a session whose proxy was lost; false when that is not possible.
+    std::function<bool(const relay::CallerSession &session)> adopted;
+};
+
+} // namespace cardamomstep::gateway
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -1,11 +1,11 @@
 // The session proxy: one event loop that performs the relay's actions and reports their results to it.
 #pragma once
 
-#include "base/hash.h"
 #include "evloop/clock.h"
 #include "evloop/httpserver.h"
 #include "gateway/callerconnections.h"
 #include "gateway/catalogwatcher.h"
+#include "gateway/derivedsettings.h"
 #include "gateway/leadershipservice.h"
 #include "gateway/memberconnections.h"
 #include "gateway/proxymetrics.h"
@@ -128,25 +128,6 @@
     }
 
 private:
-    static std::uint64_t seedOf(const SessionSettings &settings)
-    {
-        return stableHash(settings.instance.text(), static_cast<std::uint64_t>(evloop::bootTimeNow().time_since_epoch().count()));
-    }
-
-    static relay::EngineLimits engineLimitsOf(const SessionSettings &settings)
-    {
-        relay::EngineLimits limits;
-        limits.memberDrain = settings.memberDrain;
-        return limits;
-    }
-
-    static relay::DirectoryLimits directoryLimitsOf(const SessionSettings &settings)
-    {
-        relay::DirectoryLimits limits;
-        limits.memberDrain = settings.memberDrain;
-        return limits;
-    }
-
     LeadershipHost leadershipHost()
     {
         const auto proxiesChanged = [this] {
