Soak: callers work until all faults have ended

The callers stopped at a provisional time, 60 s after the last fault began, while a rolling restart of 31 proxies took longer: in the logs every proxy's last statement is of the same second, and the restarts go on after it.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import json
+import math
 import os
 import random
 import shutil
@@ -155,8 +156,8 @@
     async def _run_faults(self, fleet, groups, store, promotions, operator):
         options = self.options
         until = WARM_UP_S + options.seconds
-        # Callers work until RECOVERY_S after this time. The value is provisional until all faults have ended.
-        self.faults_ended_at = until + 60.0
+        # Callers work until RECOVERY_S after this time, which is known once all faults have ended.
+        self.faults_ended_at = math.inf
         routes = [Route(*route) for route in operator.routes()]
         callers = [
             Caller(f"c{number}", random.Random(options.seed * 1000 + number), fleet, routes, self.checker, self.clock)
