--- a/src/gateway/proxymetrics.h
+++ b/src/gateway/proxymetrics.h
@@ -68,8 +68,8 @@
             metrics_.set("member_connections_open" + labels, static_cast<double>(group.connections));
             metrics_.set("member_connections_lent" + labels, static_cast<double>(group.connectionsInUse));
             metrics_.set("primary_generation" + labels, static_cast<double>(group.primary.generation));
-            const auto leavingSince = group.primaryLeavingSince.value_or(now);
-            metrics_.set("primary_leaving_ms" + labels, static_cast<double>(wholeMilliseconds(now - leavingSince).count()));
+            const auto drainingSince = group.primaryDrainingSince.value_or(now);
+            metrics_.set("primary_leaving_ms" + labels, static_cast<double>(wholeMilliseconds(now - drainingSince).count()));
         }
         return metrics_.page();
     }
--- a/src/gateway/statuspage.h
+++ b/src/gateway/statuspage.h
@@ -19,7 +19,7 @@
             {"usable", group.primary.usable(now)},
             {"held", group.primary.changeInProgress},
             {"viewLeftMs", wholeMilliseconds(group.primary.validUntil - now).count()},
-            {"primaryLeavingMs", wholeMilliseconds(now - group.primaryLeavingSince.value_or(now)).count()},
+            {"primaryLeavingMs", wholeMilliseconds(now - group.primaryDrainingSince.value_or(now)).count()},
             {"waiting", group.waiting},
             {"connections", group.connections},
             {"connectionsLent", group.connectionsInUse}};
--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -44,8 +44,8 @@
 /// A removed entry is kept during an outage of the store and for `expiryGrace` after it, since removals in that time are not trusted.
 ///
 /// Changes are applied with the earliest time at which they may have been made: a process that starts, or whose watch was interrupted,
-/// finds members that have been draining for an unknown time. They then count as draining since that time, but for `memberDrain` / 2 at
-/// most.
+/// finds members that have been draining for an unknown time. Such a member counts as draining since the earliest possible time, but not
+/// for longer than half of `memberDrain`.
 class MemberDirectory
 {
 public:
--- a/src/relay/engine.cpp
+++ b/src/relay/engine.cpp
@@ -50,7 +50,7 @@
                 found = group.pools.emplace(member.name, MemberPool(member, limits_.pool)).first;
             }
             found->second.setEntry(member);
-            found->second.leavingSince = directory.drainingSince(member.name);
+            found->second.drainingSince = directory.drainingSince(member.name);
             if (restarted) {
                 found->second.position = LogPosition{};
             }
@@ -192,7 +192,7 @@
         stats.waiting = group.waiting.size();
         for (const auto &[member, pool] : group.pools) {
             if (member == group.primary.member) {
-                stats.primaryLeavingSince = pool.leavingSince;
+                stats.primaryDrainingSince = pool.drainingSince;
             }
             stats.connections += pool.size();
             stats.connectionsInUse += pool.count(PooledConnectionState::InUse);
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -76,7 +76,7 @@
     GroupName group;
     CachedPrimary primary;
     /// When the primary announced that it drains; nothing unless it did.
-    std::optional<TimePoint> primaryLeavingSince;
+    std::optional<TimePoint> primaryDrainingSince;
     /// Number of statements that wait for a connection.
     std::size_t waiting = 0;
     /// Connections to all members of the group, those being opened included.
@@ -262,7 +262,7 @@
     [[nodiscard]] std::optional<LogPosition> requiredPosition(const Caller &caller, Group &group, TimePoint now) const;
     [[nodiscard]] bool drainTimeOver(const MemberPool &pool, TimePoint now) const noexcept;
     [[nodiscard]] bool primaryUsable(const Group &group, TimePoint now) const;
-    [[nodiscard]] bool mayGetWork(const Group &group, const MemberPool &pool, TimePoint now) const;
+    [[nodiscard]] bool keepsConnections(const Group &group, const MemberPool &pool, TimePoint now) const;
     [[nodiscard]] MemberPool *primaryPool(Group &group, TimePoint now);
     [[nodiscard]] MemberPool *chooseReader(const Caller &caller, Group &group, const std::optional<LogPosition> &required, TimePoint now);
     void openConnections(Group &group, TimePoint now);
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -363,9 +363,9 @@
          {"view_left_ms", groupKnown ? static_cast<std::int64_t>(wholeMilliseconds(group->second.primary.validUntil - now).count()) : 0}}};
     if (connection != connections_.end() && groupKnown) {
         const auto pool = group->second.pools.find(connection->second.second);
-        if (pool != group->second.pools.end() && pool->second.leavingSince) {
+        if (pool != group->second.pools.end() && pool->second.drainingSince) {
             decision.fields.emplace_back("member_leaving_ms",
-                                         static_cast<std::int64_t>(wholeMilliseconds(now - *pool->second.leavingSince).count()));
+                                         static_cast<std::int64_t>(wholeMilliseconds(now - *pool->second.drainingSince).count()));
         }
     }
     if (!caller.setupStatementId.empty()) {
--- a/src/relay/engineconnections.cpp
+++ b/src/relay/engineconnections.cpp
@@ -245,7 +245,7 @@
     connection.state = PooledConnectionState::Idle;
     connection.stateSince = now;
     auto &pool = group.pools.at(connection.member);
-    if (!mayGetWork(group, pool, now)) {
+    if (!keepsConnections(group, pool, now)) {
         dropConnection(connection.key, group, pool);
         return;
     }
@@ -284,7 +284,7 @@
                     {{"group", group.config.group.text()},
                      {"member", group.primary.member.text()},
                      {"generation", static_cast<std::int64_t>(group.primary.generation)},
-                     {"leaving_ms", static_cast<std::int64_t>(wholeMilliseconds(now - *pool->second.leavingSince).count())}}});
+                     {"leaving_ms", static_cast<std::int64_t>(wholeMilliseconds(now - *pool->second.drainingSince).count())}}});
 }
 
 /// Closes connections that are silent, that did not open in time, or that are not needed.
@@ -308,7 +308,7 @@
         if (surplusKey != 0) {
             dropConnection(surplusKey, group, pool);
         }
-        if (mayGetWork(group, pool, now)) {
+        if (keepsConnections(group, pool, now)) {
             continue;
         }
         while (auto *idle = pool.bestIdle({})) {
--- a/src/relay/enginedispatch.cpp
+++ b/src/relay/enginedispatch.cpp
@@ -66,7 +66,7 @@
 bool Engine::drainTimeOver(const MemberPool &pool, TimePoint now) const noexcept
 {
     const auto margin = std::min(limits_.memberDrainMargin, limits_.memberDrain / 4);
-    return pool.leavingSince && now - *pool.leavingSince >= limits_.memberDrain - margin;
+    return pool.drainingSince && now - *pool.drainingSince >= limits_.memberDrain - margin;
 }
 
 /// Returns true if new statements may be sent to the group's primary.
@@ -79,8 +79,8 @@
     return pool == group.pools.end() || !drainTimeOver(pool->second, now);
 }
 
-/// Returns true if connections to the member are worth keeping: it is not leaving, or it is the primary and has time left.
-bool Engine::mayGetWork(const Group &group, const MemberPool &pool, TimePoint now) const
+/// Returns true if idle connections to the member are kept: it is not draining, or it is the primary and has drain time left.
+bool Engine::keepsConnections(const Group &group, const MemberPool &pool, TimePoint now) const
 {
     const bool primary = pool.entry().name == group.primary.member;
     return !pool.entry().draining || (primary && !drainTimeOver(pool, now));
--- a/src/relay/memberpool.h
+++ b/src/relay/memberpool.h
@@ -183,7 +183,7 @@
     /// The member's log position as last reported; replicas only.
     LogPosition position;
     /// When the member announced that it drains, as far as known; nothing unless it did.
-    std::optional<TimePoint> leavingSince;
+    std::optional<TimePoint> drainingSince;
     /// Until when reads beyond `position` are not sent to the member, after its log lagged behind the position that a read needed.
     TimePoint laggingUntil;
 
