--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -34,6 +34,10 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 LISTENERS = ("callers", "readiness", "peers", "sessions", "metrics")
 READY_TIMEOUT_S = 25.0
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+# Ports that this run uses or will use.
+GIVEN_PORTS = set()
 
 # Exit codes.
 BROKEN, HELD, NOT_RUN = 1, 0, 2
@@ -44,13 +48,18 @@
 
 
 def free_ports(count):
-    """Returns ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns ports that nothing listens on now, below those that the kernel gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -87,6 +96,9 @@
         self.child = None
         self.settings_file = ""
         self.log_file = ""
+        # For the relays of tests/soak, which find the proxy of a connection by its process.
+        self.process = self
+        self.relays = {}
 
     def port(self, listener):
         return self.ports[listener]
