--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -34,10 +34,10 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 LISTENERS = ("callers", "readiness", "peers", "sessions", "metrics")
 READY_TIMEOUT_S = 25.0
-FIRST_PORT = 12_000
-LAST_PORT = 32_000
-# Ports that this run uses or will use.
-GIVEN_PORTS = set()
+# Above the ports of the tests in tests/.
+FIRST_PORT = 28_500
+LAST_PORT = 32_500
+BLOCK_PORTS = 100
 
 # Exit codes.
 BROKEN, HELD, NOT_RUN = 1, 0, 2
@@ -47,20 +47,34 @@
     """The case could not be brought about; says nothing about the rule."""
 
 
-def free_ports(count):
-    """Returns ports that nothing listens on now, below those that the kernel gives to outgoing connections."""
-    ports = []
-    while len(ports) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
+class Ports:
+    """Gives out ports of a block that no other run uses; the block's last port is its lock and stays bound."""
+
+    def __init__(self):
+        for first in random.sample(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS), (LAST_PORT - FIRST_PORT) // BLOCK_PORTS):
+            self.lock = socket.socket()
             try:
-                probe.bind(("127.0.0.1", port))
+                self.lock.bind(("127.0.0.1", first + BLOCK_PORTS - 1))
+                self.left = list(range(first, first + BLOCK_PORTS - 1))
+                return
             except OSError:
-                continue
-        if port not in GIVEN_PORTS:
-            GIVEN_PORTS.add(port)
+                self.lock.close()
+        raise CaseNotRun("all blocks of ports are in use")
+
+    def take(self, count):
+        """Returns ports that nothing listens on now."""
+        ports = []
+        while len(ports) < count:
+            if not self.left:
+                raise CaseNotRun("the block of ports is used up")
+            port = self.left.pop()
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
             ports.append(port)
-    return ports
+        return ports
 
 
 class Observer:
@@ -117,6 +131,7 @@
         self.record_file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.temporary = tempfile.mkdtemp(prefix="review-")
         self.random = random.Random(7)
+        self.ports = Ports()
         self.bounds = {"graceS": 6, "configApplyMs": 3000, "drainMs": 7000, "heartbeatMs": 1200, **(bounds or {})}
         self.observer = Observer(self)
         self.groups = []
@@ -146,7 +161,7 @@
 
     async def start_members(self, group_count, member_server=serve_member, **options):
         """Starts groups of three members, one in each zone; the first member of each leads."""
-        ports = free_ports(3 * group_count)
+        ports = self.ports.take(3 * group_count)
         for number in range(group_count):
             group = DatabaseGroup(f"db{number}", self.observer, **options)
             for index, zone in enumerate(ZONES):
@@ -160,7 +175,7 @@
         await self.operator.change()
         self.spawn(keep_entries(self.store, self.groups))
         self.promotions = Promotions(self.groups, self.observer)
-        self.promotions_port, self.store_port = free_ports(2)
+        self.promotions_port, self.store_port = self.ports.take(2)
         await serve(promotions_handler or self.promotions.handle, self.promotions_port)
 
         async def handle(request):
@@ -170,7 +185,7 @@
 
     def add_proxy(self, name, zone):
         proxy = Proxy(name, zone)
-        proxy.ports = dict(zip(LISTENERS, free_ports(len(LISTENERS))))
+        proxy.ports = dict(zip(LISTENERS, self.ports.take(len(LISTENERS))))
         proxy.settings_file = os.path.join(self.temporary, f"{name}.json")
         proxy.log_file = os.path.join(self.temporary, f"{name}.log")
         self.proxies.append(proxy)
