--- a/src/gateway/primarychanges.h
+++ b/src/gateway/primarychanges.h
@@ -121,6 +121,22 @@
         ChangeId id;
     };
 
+    /// Returns what became of a promotion by the reply to its request.
+    [[nodiscard]] static leadership::PromotionOutcome outcomeOf(const Result<Success> &reply)
+    {
+        if (reply) {
+            return leadership::PromotionOutcome::Accepted;
+        }
+        switch (reply.error().kind) {
+        case ErrorKind::Conflict:
+            return leadership::PromotionOutcome::Refused;
+        case ErrorKind::StoreUnavailable:
+            return leadership::PromotionOutcome::NotExecuted;
+        default:
+            return leadership::PromotionOutcome::Unknown;
+        }
+    }
+
     [[nodiscard]] bool hasSuccessor(const leadership::GroupRecord &record) const
     {
         const auto members = context_.host.directory.membersOf(record.group);
@@ -325,13 +341,14 @@
         }
         // The call must end before another proxy can acquire the lease.
         if (!context_.lease.holds(now + context_.limits.promoteTimeout)) {
-            change->promoted(action.member, false, false, now);
+            change->promoted(action.member, leadership::PromotionOutcome::NotExecuted, now);
             return;
         }
         context_.host.log(LogLevel::Info,
                           "promote",
                           {{"group", ref.group.text()},
                            {"member", action.member.text()},
+                           {"unconfirmed_before", static_cast<std::int64_t>(action.unconfirmedBefore)},
                            {"fence", static_cast<std::int64_t>(context_.lease.fencingToken())}});
         promoter_.promote(ref.group,
                           action.member,
@@ -343,14 +360,13 @@
                               if (pending == nullptr) {
                                   return;
                               }
-                              const bool refused = !result && result.error().kind == ErrorKind::Conflict;
                               if (!result) {
                                   context_.host.log(
                                       LogLevel::Warning,
                                       "promote_failed",
                                       {{"group", ref.group.text()}, {"member", name.text()}, {"fault", result.error().description}});
                               }
-                              pending->promoted(name, static_cast<bool>(result), refused, evloop::bootTimeNow());
+                              pending->promoted(name, outcomeOf(result), evloop::bootTimeNow());
                               scheduleStep(ref);
                           });
     }
--- a/src/leadership/primarychange.cpp
+++ b/src/leadership/primarychange.cpp
@@ -11,6 +11,7 @@
     , reason_(reason)
     , startedAt_(now)
     , recordedAt_(now)
+    , gatheringSince_(now)
 {
     if (record_.changeInProgress) {
         phase_ = Phase::Gathering;
@@ -37,6 +38,7 @@
     if (phase_ == Phase::Recording) {
         phase_ = Phase::Gathering;
         recordedAt_ = now;
+        gatheringSince_ = now;
     } else if (phase_ == Phase::Publishing) {
         phase_ = Phase::Finished;
     }
@@ -74,34 +76,73 @@
     }
 }
 
-void PrimaryChange::memberStatus(const MemberStatus &status)
+void PrimaryChange::noteStatus(const MemberStatus &status)
 {
     statuses_[status.member] = status;
+    refusedMembers_.erase(status.member);
+    highestTerm_ = std::max({highestTerm_, status.reply.term, status.reply.received.term.number});
+}
+
+void PrimaryChange::memberStatus(const MemberStatus &status)
+{
+    noteStatus(status);
 }
 
 void PrimaryChange::replicationStopped(const MemberStatus &status, std::uint64_t term)
 {
-    statuses_[status.member] = status;
+    noteStatus(status);
     if (term == stopTerm_) {
         stoppedReplicas_.insert(status.member);
     }
 }
 
-void PrimaryChange::promoted(const MemberName &member, bool accepted, bool refused, TimePoint now)
+void PrimaryChange::promoted(const MemberName &member, PromotionOutcome outcome, TimePoint now)
 {
     if (phase_ != Phase::Promoting || member != chosenMember_) {
         return;
     }
-    retryAt_ = now;
-    if (accepted) {
+    switch (outcome) {
+    case PromotionOutcome::Accepted:
+        noteUnconfirmedPromotion(now);
+        statuses_.erase(member);
         phase_ = Phase::Confirming;
         promotedAt_ = now;
-    } else if (refused) {
+        retryAt_ = now;
+        return;
+    case PromotionOutcome::Refused:
+        statuses_.erase(member);
+        stoppedReplicas_.erase(member);
         refusedMembers_.insert(member);
         phase_ = Phase::Gathering;
-    } else {
-        retryAt_ = now + limits_.retryInterval;
+        retryAt_ = now;
+        if (!unconfirmedPromotions_.empty()) {
+            gatherAgain(now);
+        }
+        return;
+    case PromotionOutcome::Unknown:
+        noteUnconfirmedPromotion(now);
+        break;
+    case PromotionOutcome::NotExecuted:
+        break;
+    }
+    retryAt_ = now + limits_.retryInterval;
+}
+
+/// Records that the promotion in progress may take effect from \a now on.
+void PrimaryChange::noteUnconfirmedPromotion(TimePoint now)
+{
+    promotionsSettledAt_ = now + limits_.confirmTimeout;
+    if (!unconfirmedPromotions_.empty() && unconfirmedPromotions_.back().member == chosenMember_) {
+        return;
     }
+    highestPromotedTerm_ = highestPossibleTerm() + 1;
+    unconfirmedPromotions_.push_back({chosenMember_, termFloor_});
+}
+
+/// Returns the highest term at which any member may lead, as far as this change knows.
+std::uint64_t PrimaryChange::highestPossibleTerm() const noexcept
+{
+    return std::max(highestTerm_, highestPromotedTerm_);
 }
 
 PrimaryChangeActions PrimaryChange::next(TimePoint now)
@@ -115,10 +156,7 @@
         gathering(actions, now);
         break;
     case Phase::Promoting:
-        if (now >= retryAt_) {
-            actions.emplace_back(PromoteMember{chosenMember_});
-            retryAt_ = TimePoint::max();
-        }
+        promoting(actions, now);
         break;
     case Phase::Confirming:
         confirming(actions, now);
@@ -184,12 +222,8 @@
 /// Stops replication, at a term above every known one, on the replicas whose status is known.
 void PrimaryChange::stopReplicas(PrimaryChangeActions &actions)
 {
-    std::uint64_t highestTerm = 0;
-    for (const auto &[name, status] : statuses_) {
-        highestTerm = std::max({highestTerm, status.reply.term, status.reply.received.term.number});
-    }
-    if (highestTerm >= stopTerm_) {
-        stopTerm_ = highestTerm + 1;
+    if (highestPossibleTerm() >= stopTerm_) {
+        stopTerm_ = highestPossibleTerm() + 1;
         stoppedReplicas_.clear();
     }
     for (const auto &[name, member] : members_) {
@@ -208,135 +242,49 @@
     return proxies_ && std::all_of(proxies_->begin(), proxies_->end(), [this](const auto &proxy) { return quiesced_.contains(proxy); });
 }
 
-/// True when every proxy has reported all that its instance acknowledged to callers.
-bool PrimaryChange::allAcknowledgementsKnown() const
-{
-    return proxies_ && std::all_of(proxies_->begin(), proxies_->end(), [this](const auto &proxy) {
-               const auto found = quiesced_.find(proxy);
-               return found != quiesced_.end() && found->second;
-           });
-}
-
-/// True when the replication of every registered replica was stopped at stopTerm_.
-bool PrimaryChange::replicasSettled() const
-{
-    return std::all_of(members_.begin(), members_.end(), [this](const auto &member) {
-        return !isReplica(member.first) || stoppedReplicas_.contains(member.first);
-    });
-}
-
-/// Returns the member to promote: one that is not draining and holds all that was acknowledged, otherwise the one with the longest log.
-/// While not all acknowledgements are known, only the longest log counts as holding them.
-std::optional<PrimaryChange::Candidate> PrimaryChange::bestCandidate() const
-{
-    std::vector<Candidate> candidates;
-    for (const auto &name : stoppedReplicas_) {
-        const auto member = members_.find(name);
-        if (member != members_.end() && !refusedMembers_.contains(name)) {
-            candidates.push_back({name, statuses_.at(name).reply.received, member->second.draining});
-        }
-    }
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
-    const auto longest = std::max_element(
-        candidates.begin(), candidates.end(), [](const auto &left, const auto &right) { return left.received < right.received; });
-    const auto needed = allAcknowledgementsKnown() ? std::min(acknowledged_, longest->received) : longest->received;
-    std::optional<Candidate> chosen;
-    for (const auto &candidate : candidates) {
-        if (candidate.draining || candidate.received < needed) {
-            continue;
-        }
-        if (!chosen || chosen->received < candidate.received) {
-            chosen = candidate;
-        }
-    }
-    return chosen ? chosen : std::optional(*longest);
-}
-
-/// A leader at a term that no member exceeds is the newest one, unless a member without a status leads at a higher one: that member has
-/// acknowledged nothing without a replica, and has no replica among the others.
-std::optional<MemberName> PrimaryChange::verifiedLeader() const
-{
-    const MemberStatus *leader = nullptr;
-    std::uint64_t highestTerm = 0;
-    std::size_t answered = 0;
-    for (const auto &[name, status] : statuses_) {
-        if (!members_.contains(name)) {
-            continue;
-        }
-        ++answered;
-        highestTerm = std::max({highestTerm, status.reply.term, status.reply.received.term.number});
-        if (status.reply.primary && (leader == nullptr || leader->reply.term < status.reply.term)) {
-            leader = &status;
-        }
-    }
-    if (leader == nullptr || leader->reply.term < highestTerm || leader->reply.received < acknowledged_) {
-        return std::nullopt;
-    }
-    const bool enough = answered == members_.size() || (answered + 1 == members_.size() && allAcknowledgementsKnown());
-    return enough ? std::optional(leader->member) : std::nullopt;
-}
-
-void PrimaryChange::chooseMember(PrimaryChangeActions &actions, TimePoint now)
+/// Requests the promotion again after a reply was lost, and asks the member, too: the platform's replies may stay lost.
+void PrimaryChange::promoting(PrimaryChangeActions &actions, TimePoint now)
 {
-    if (reason_ == PrimaryChangeReason::Unverified && stoppedReplicas_.empty()) {
-        if (const auto leader = verifiedLeader()) {
-            newTerm_ = statuses_.at(*leader).reply.term;
-            startPublishing(*leader);
-            return;
-        }
-    }
-    const auto elapsed = now - recordedAt_;
-    const auto candidate = bestCandidate();
-    const auto primary = statuses_.find(record_.primary);
-    const bool recordVerified = reason_ != PrimaryChangeReason::Unverified;
-    const bool primaryLeads = recordVerified && primary != statuses_.end() && primary->second.reply.primary;
-    if (!candidate) {
-        // No other member can be promoted; the old primary may continue once its replicas replicate again.
-        if (primaryLeads && elapsed >= limits_.memberTimeout && !planned()) {
-            startPublishing(record_.primary);
-        }
-        return;
-    }
-    const bool lacksAcknowledged = candidate->received < acknowledged_;
-    if (lacksAcknowledged && primaryLeads && elapsed >= limits_.memberTimeout) {
-        // The old primary holds what was acknowledged to callers; a slow primary is better than lost writes.
-        startPublishing(record_.primary);
+    const bool mayHaveTakenEffect = !unconfirmedPromotions_.empty() && unconfirmedPromotions_.back().member == chosenMember_;
+    if (mayHaveTakenEffect && confirmsLastPromotion()) {
+        resumedByPromotion_ = chosenMember_ != record_.primary;
+        startPublishing(chosenMember_);
+        publishing(actions, now);
         return;
     }
-    const bool settled = replicasSettled() || (allAcknowledgementsKnown() && elapsed >= limits_.memberTimeout);
-    const bool mayPromote = (settled && !lacksAcknowledged) || elapsed >= limits_.maxGatheringTime;
-    if (!mayPromote) {
+    if (now < retryAt_) {
         return;
     }
-    const auto status = statuses_.find(candidate->member);
-    if (status != statuses_.end() && status->second.reply.primary) {
-        // A promotion requested by an earlier lease holder took effect.
-        newTerm_ = status->second.reply.term;
-        startPublishing(candidate->member);
-        return;
+    actions.emplace_back(PromoteMember{chosenMember_, unconfirmedPromotions_.size()});
+    if (mayHaveTakenEffect) {
+        actions.emplace_back(QueryMember{chosenMember_});
     }
-    chosenMember_ = candidate->member;
-    promotionRequested_ = true;
-    phase_ = Phase::Promoting;
-    actions.emplace_back(PromoteMember{chosenMember_});
     retryAt_ = TimePoint::max();
 }
 
 void PrimaryChange::confirming(PrimaryChangeActions &actions, TimePoint now)
 {
-    const auto status = statuses_.find(chosenMember_);
-    if (status != statuses_.end() && status->second.reply.primary) {
-        newTerm_ = status->second.reply.term;
+    if (confirmsLastPromotion()) {
+        resumedByPromotion_ = chosenMember_ != record_.primary;
         startPublishing(chosenMember_);
         publishing(actions, now);
         return;
     }
-    if (now - promotedAt_ >= limits_.confirmTimeout) {
-        refusedMembers_.insert(chosenMember_);
-        phase_ = Phase::Gathering;
-        retryAt_ = now;
+    const auto elapsed = now - promotedAt_;
+    const bool complete = elapsed >= limits_.confirmTimeout;
+    const auto status = statuses_.find(chosenMember_);
+    if (status != statuses_.end() && status->second.reply.primary) {
+        if (complete) {
+            // Each promotion before this one has taken effect by now or never will, and it leads: it was the platform's primary already.
+            startPublishing(chosenMember_);
+            publishing(actions, now);
+            return;
+        }
+        // An earlier promotion may still end its lead, so only a status from the end of the wait counts.
+        statuses_.erase(status);
+    }
+    if (elapsed >= limits_.confirmTimeout + (termFloor_ == 0 ? Milliseconds{0} : limits_.memberTimeout)) {
+        gatherAgain(now);
         return;
     }
     if (now >= retryAt_) {
@@ -345,8 +293,31 @@
     }
 }
 
+/// Returns true if the member of the last promotion leads at a term that only this promotion can have begun.
+bool PrimaryChange::confirmsLastPromotion() const
+{
+    if (unconfirmedPromotions_.empty()) {
+        return false;
+    }
+    const auto &last = unconfirmedPromotions_.back();
+    const auto status = statuses_.find(last.member);
+    return status != statuses_.end() && status->second.reply.primary && status->second.reply.term > last.termFloor;
+}
+
+/// Starts to choose a member again: the last promotion may have taken effect, and if so it resumed the stopped replicas.
+void PrimaryChange::gatherAgain(TimePoint now)
+{
+    phase_ = Phase::Gathering;
+    gatheringSince_ = now;
+    retryAt_ = now;
+    statuses_.clear();
+    stoppedReplicas_.clear();
+}
+
 void PrimaryChange::startPublishing(const MemberName &member)
 {
+    const auto status = statuses_.find(member);
+    newTerm_ = status == statuses_.end() ? 0 : status->second.reply.term;
     chosenMember_ = member;
     phase_ = Phase::Publishing;
     retryAt_ = TimePoint{};
@@ -362,16 +333,28 @@
     record.primary = chosenMember_;
     ++record.generation;
     actions.emplace_back(StoreRecord{record});
-    if (!promotionRequested_ || chosenMember_ == record_.primary) {
-        // A promotion also resumes the stopped replicas; without one, they are resumed explicitly.
+    if (!resumedByPromotion_) {
         for (const auto &name : stoppedReplicas_) {
             actions.emplace_back(ResumeReplication{name});
         }
     }
-    if (chosenMember_ != record_.primary && members_.contains(record_.primary)) {
-        actions.emplace_back(DemoteMember{record_.primary, newTerm_});
-    }
+    demoteOthers(actions);
     retryAt_ = TimePoint::max();
 }
 
+/// Demotes the members that may have led until now.
+void PrimaryChange::demoteOthers(PrimaryChangeActions &actions) const
+{
+    std::set<MemberName> formerPrimaries{record_.primary};
+    for (const auto &promotion : unconfirmedPromotions_) {
+        formerPrimaries.insert(promotion.member);
+    }
+    formerPrimaries.erase(chosenMember_);
+    for (const auto &member : formerPrimaries) {
+        if (members_.contains(member)) {
+            actions.emplace_back(DemoteMember{member, newTerm_});
+        }
+    }
+}
+
 } // namespace cardamomstep::leadership
--- a/src/leadership/primarychange.h
+++ b/src/leadership/primarychange.h
@@ -3,6 +3,9 @@
 // Does no I/O: the I/O layer performs the returned actions and reports their results. Steps: record the change, so that no proxy relies
 // on the old primary any longer; stop the replicas' replication, so that the old primary acknowledges nothing more; choose a member
 // whose log holds all that was acknowledged; have it promoted; record it as the primary.
+//
+// A promotion may take effect although its reply is lost or the promoted member cannot be reached. Once one may have, no status that
+// the old primary reported proves that it still leads; it is recorded again only after the platform has promoted it, too.
 #pragma once
 
 #include "leadership/primaryfailuredetector.h"
@@ -42,6 +45,8 @@
 /// Have the platform promote the member; report promoted().
 struct PromoteMember {
     MemberName member;
+    /// Number of earlier promotions by this change that may have taken effect without being confirmed.
+    std::size_t unconfirmedBefore = 0;
 };
 /// Make a former primary a replica.
 struct DemoteMember {
@@ -56,6 +61,14 @@
     std::variant<StoreRecord, ListProxies, QuiesceProxy, StopReplication, QueryMember, PromoteMember, DemoteMember, ResumeReplication>;
 using PrimaryChangeActions = std::vector<PrimaryChangeAction>;
 
+/// What became of a request to promote a member.
+enum class PromotionOutcome : std::uint8_t {
+    Accepted, ///< The platform started the promotion, or the member is the platform's present primary.
+    Refused, ///< The platform reported that the member does not run; this request had no effect.
+    Unknown, ///< No reply; it may have taken effect.
+    NotExecuted, ///< The request was not sent, or the platform took no requests; it had no effect.
+};
+
 /// Settings of a primary change.
 struct PrimaryChangeLimits {
     /// Time for statements in flight to end during a planned change.
@@ -71,7 +84,7 @@
     Milliseconds primaryTableMargin{50};
     /// Uptime below which a proxy may not know all that its instance acknowledged before a restart.
     Milliseconds minHistoryUptime{6000};
-    /// Time after which a promoted member that does not lead is replaced by another candidate.
+    /// Time after which a promoted member that does not lead is replaced by another candidate; no promotion takes longer to take effect.
     Milliseconds confirmTimeout{3000};
 };
 
@@ -95,9 +108,7 @@
     void memberStatus(const MemberStatus &status);
     /// Records that the member confirmed that its replication stopped at \a term; \a status is as of then.
     void replicationStopped(const MemberStatus &status, std::uint64_t term);
-    /// Handles the platform's reply to a promotion: \a accepted when it started the promotion, \a refused when it reported that the member
-    /// does not run; both false when there was no reply.
-    void promoted(const MemberName &member, bool accepted, bool refused, TimePoint now);
+    void promoted(const MemberName &member, PromotionOutcome outcome, TimePoint now);
 
     /// Returns the actions due at \a now.
     [[nodiscard]] PrimaryChangeActions next(TimePoint now);
@@ -137,6 +148,13 @@
         bool draining = false;
     };
 
+    /// A promotion that may have taken effect.
+    struct UnconfirmedPromotion {
+        MemberName member;
+        /// Only a higher term proves that this promotion took effect; 0 if any term does.
+        std::uint64_t termFloor = 0;
+    };
+
     void recording(PrimaryChangeActions &actions, TimePoint now);
     void gathering(PrimaryChangeActions &actions, TimePoint now);
     void queryMembers(PrimaryChangeActions &actions);
@@ -150,10 +168,20 @@
     void quiesceProxies(PrimaryChangeActions &actions);
     void stopReplicas(PrimaryChangeActions &actions);
     void chooseMember(PrimaryChangeActions &actions, TimePoint now);
+    void promoting(PrimaryChangeActions &actions, TimePoint now);
     void confirming(PrimaryChangeActions &actions, TimePoint now);
     void publishing(PrimaryChangeActions &actions, TimePoint now);
+    void demoteOthers(PrimaryChangeActions &actions) const;
     void advanceRetry(TimePoint now);
     void startPublishing(const MemberName &member);
+    void usePrimaryAgain(PrimaryChangeActions &actions, TimePoint now);
+    void startPromoting(const MemberName &member, PrimaryChangeActions &actions, TimePoint now);
+    void noteUnconfirmedPromotion(TimePoint now);
+    void gatherAgain(TimePoint now);
+    void noteStatus(const MemberStatus &status);
+    [[nodiscard]] bool confirmsLastPromotion() const;
+    [[nodiscard]] bool leadsUndoubtedly(const MemberName &member) const;
+    [[nodiscard]] std::uint64_t highestPossibleTerm() const noexcept;
     [[nodiscard]] bool proxiesSettled(TimePoint now) const;
     [[nodiscard]] bool allAcknowledgementsKnown() const;
     [[nodiscard]] bool replicasSettled() const;
@@ -162,6 +190,16 @@
     {
         return reason_ == PrimaryChangeReason::Leaving;
     }
+    /// True if an earlier lease holder may have promoted a member for this change.
+    [[nodiscard]] bool inherited() const noexcept
+    {
+        return reason_ == PrimaryChangeReason::Resumed || reason_ == PrimaryChangeReason::Unverified;
+    }
+    /// True if another member may lead in place of the recorded primary.
+    [[nodiscard]] bool mayBeSuperseded() const noexcept
+    {
+        return inherited() || !unconfirmedPromotions_.empty();
+    }
 
     PrimaryChangeLimits limits_;
     GroupRecord record_;
@@ -171,6 +209,8 @@
     std::map<MemberName, relay::MemberEntry> members_;
     /// When the store confirmed the record of the change; the start when the change was already recorded.
     TimePoint recordedAt_;
+    /// When the members were asked first, or again after a promotion that was not confirmed.
+    TimePoint gatheringSince_;
     std::optional<std::set<InstanceName>> proxies_;
     /// The quiesced proxies, and whether each knows all that its instance acknowledged.
     std::map<InstanceName, bool> quiesced_;
@@ -179,10 +219,21 @@
     /// Replicas whose replication was stopped at stopTerm_.
     std::set<MemberName> stoppedReplicas_;
     std::uint64_t stopTerm_ = 0;
+    /// The highest term that any member reported.
+    std::uint64_t highestTerm_ = 0;
+    /// Members that do not run, by the platform's reply, and that have not reported a status since.
     std::set<MemberName> refusedMembers_;
     MemberName chosenMember_;
-    /// True once this change has requested a promotion.
-    bool promotionRequested_ = false;
+    /// The chosen member leads by a promotion of this change that came after all stops; it resumed the replicas.
+    bool resumedByPromotion_ = false;
+    /// Promotions by this change that may have taken effect, oldest first.
+    std::vector<UnconfirmedPromotion> unconfirmedPromotions_;
+    /// From when none of them can take effect any more.
+    TimePoint promotionsSettledAt_;
+    /// The highest term that one of them can have begun; 0 for none.
+    std::uint64_t highestPromotedTerm_ = 0;
+    /// See UnconfirmedPromotion::termFloor; of the promotion in progress.
+    std::uint64_t termFloor_ = 0;
     TimePoint promotedAt_;
     std::uint64_t newTerm_ = 0;
     /// When the requests of the phase are sent next.
