--- a/src/evloop/lineconnection.cpp
+++ b/src/evloop/lineconnection.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Ends each line. A line feed or a carriage return alone is part of the line.
+constexpr std::string_view lineTerminator = "\r\n";
+
 /// Delivered input is erased once it is larger than this.
 constexpr std::size_t compactBytes = 16'384;
 
@@ -80,16 +83,14 @@
     const auto self = shared_from_this();
     deliveringLines_ = true;
     while (!paused_ && !closed_ && !closing_) {
-        const auto lineEnd = input_.find('\n', std::max(consumed_, scanned_));
+        const auto lineEnd = input_.find(lineTerminator, std::max(consumed_, scanned_));
         if (lineEnd == std::string::npos) {
-            scanned_ = input_.size();
+            // The last byte may be the first half of a terminator.
+            scanned_ = std::max(input_.size(), std::size_t{1}) - 1;
             break;
         }
-        auto line = std::string_view(input_).substr(consumed_, lineEnd - consumed_);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        consumed_ = lineEnd + 1;
+        const auto line = std::string_view(input_).substr(consumed_, lineEnd - consumed_);
+        consumed_ = lineEnd + lineTerminator.size();
         onLine_(line);
     }
     deliveringLines_ = false;
--- a/src/evloop/lineconnection.h
+++ b/src/evloop/lineconnection.h
@@ -1,4 +1,4 @@
-// A TCP connection that carries lines, which are read and written in batches.
+// A TCP connection that carries lines, each ended by a carriage return and a line feed, which are read and written in batches.
 #pragma once
 
 #include "base/ids.h"
@@ -91,7 +91,7 @@
     std::string input_;
     /// Start of the first undelivered line in input_.
     std::size_t consumed_ = 0;
-    /// End of the part of input_ after consumed_ that is known to contain no line end.
+    /// End of the part of input_ after consumed_ in which no line terminator starts.
     std::size_t scanned_ = 0;
     std::string queued_;
     std::string sending_;
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -40,6 +40,19 @@
     }
 }
 
+// A member that also accepts other line ends would take a part of such a text for another statement.
+Test(platform, aStatementThatHoldsALineEndIsRefusedAsAWhole)
+{
+    for (const char *text :
+         {"WRITE a 1\nQUERY x WRITE b 2", "WRITE a 1\r", "READ a\rb", "SET name\n value", "PREPARE s\n READ shape", "COMMIT\n"}) {
+        const auto statement = statementOf("QUERY 5c0e " + std::string(text));
+        cr_assert(statement.kind == StatementKind::Malformed && statement.id == "5c0e", "%s", text);
+    }
+    for (const char *line : {"QUERY 5c\n0e READ 1a4", "START db\nQUERY who", "START db key\r", "TERMINATE\n"}) {
+        cr_assert(std::holds_alternative<UnreadableLine>(LineProtocol::parseCaller(line)), "%s", line);
+    }
+}
+
 Test(platform, parsesMemberReplies)
 {
     cr_assert(std::get<MemberSuccess>(LineProtocol::parseMember("COMPLETE 7.1f3.c")).signature == "7.1f3.c");
