--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -217,6 +217,7 @@
         Idle,
         Waiting, ///< For a connection.
         Beginning, ///< The transaction is being opened at the member; the statement follows.
+        SettingUp, ///< Its values or its prepared statement are being applied to the connection; the statement follows.
         Running, ///< The statement was sent to a member, which has not replied yet.
     };
 
@@ -255,6 +256,8 @@
         /// The connection in use; 0 for none.
         MemberConnectionKey connection = 0;
         GroupName group;
+        /// The log position that the statement needs at a replica, while SettingUp.
+        std::optional<LogPosition> required;
         TimePoint sentAt;
         /// Other statements in flight at the member when this one was sent.
         std::uint32_t othersInFlight = 0;
@@ -351,12 +354,9 @@
     void openConnection(Group &group, MemberPool &pool, const CustomerName &customer, TimePoint now);
     void assignConnection(
         CallerKey key, Caller &caller, PooledConnection &connection, const std::optional<LogPosition> &required, TimePoint now);
-    void sendStatement(Caller &caller,
-                       PooledConnection &connection,
-                       const std::optional<LogPosition> &required,
-                       std::vector<MemberRequest> requests,
-                       TimePoint now);
-    void addSetupRequests(const Caller &caller, PooledConnection &connection, std::vector<MemberRequest> &requests, TimePoint now);
+    void sendStatement(Caller &caller, PooledConnection &connection, const std::optional<LogPosition> &required, TimePoint now);
+    [[nodiscard]] TimePoint replyDue(const Caller &caller, const MemberPool &pool, RetryClass retryClass, TimePoint now) const;
+    [[nodiscard]] std::vector<MemberRequest> setupRequests(const Caller &caller, PooledConnection &connection, TimePoint now);
     void expectReply(PooledConnection &connection, ReplyPurpose purpose, TimePoint now, Milliseconds timeout);
     void probe(Group &group, TimePoint now);
     void updatePoolLimits(Group &group);
@@ -368,6 +368,8 @@
     void endSessionsOfChangedKeys(TimePoint now);
     void endSession(CallerKey key, Caller &caller, TimePoint now);
     void endIdleSession(CallerKey key, Caller &caller, TimePoint now);
+    /// Returns the error for a statement of an open transaction whose session's key was withdrawn.
+    [[nodiscard]] static Error withdrawnInTransaction();
     void refuseEndedSession(CallerKey key, Caller &caller, Error error, TimePoint now);
     void updateCustomerPoolLimits(Group &group, std::uint32_t plannedConnections);
     [[nodiscard]] MemberPool *poolToOpenAt(const Caller &caller, Group &group, std::map<MemberName, std::uint32_t> &claimed, TimePoint now);
@@ -377,6 +379,8 @@
     // Connections (engineconnections.cpp)
     [[nodiscard]] PooledConnection *findConnection(MemberConnectionKey key, Group **group, MemberPool **pool);
     void statementReplied(PooledConnection &connection, Group &group, MemberPool &pool, const MemberReply &reply, TimePoint now);
+    void setupReplied(PooledConnection &connection, Group &group, TimePoint now);
+    [[nodiscard]] bool mayStillSend(const Caller &caller, const PooledConnection &connection, const Group &group, TimePoint now) const;
     void beginReplied(PooledConnection &connection, Group &group, MemberPool &pool, const MemberReply &reply, TimePoint now);
     void exchangeFailed(CallerKey key, Caller &caller, ExchangeEnd end, std::optional<MemberFault> fault, TimePoint now);
     void release(PooledConnection &connection, Group &group, TimePoint now);
--- a/src/relay/enginecallers.cpp
+++ b/src/relay/enginecallers.cpp
@@ -15,6 +15,11 @@
 
 } // namespace
 
+Error Engine::withdrawnInTransaction()
+{
+    return {ErrorKind::TransactionAborted, "the key was withdrawn; the transaction is rolled back"};
+}
+
 void Engine::callerStatement(CallerKey key, const SessionStatement &statement, TimePoint now)
 {
     const auto found = callers_.find(key);
@@ -29,11 +34,7 @@
     setTimer(key, caller, std::nullopt);
     if (caller.ending) {
         const bool inTransaction = caller.session.phase() != TransactionPhase::None;
-        refuseEndedSession(key,
-                           caller,
-                           inTransaction ? Error{ErrorKind::TransactionAborted, "the key was withdrawn; the transaction is rolled back"}
-                                         : *caller.ending,
-                           now);
+        refuseEndedSession(key, caller, inTransaction ? withdrawnInTransaction() : *caller.ending, now);
         return;
     }
     if (refusedWhileDraining(caller, now)) {
@@ -94,7 +95,7 @@
                 now);
             return;
         }
-        sendStatement(caller, *connection, std::nullopt, {}, now);
+        sendStatement(caller, *connection, std::nullopt, now);
         return;
     }
     const auto *route = routes_.find(caller.session.database());
--- a/src/relay/engineconnections.cpp
+++ b/src/relay/engineconnections.cpp
@@ -58,7 +58,9 @@
         pool->onReply(now - awaited.sentAt);
     }
     recordPosition(*group, *pool, *connection, awaited, reply, now);
-    if (awaited.purpose == ReplyPurpose::Setup && reply.fault) {
+    const bool rollbackFailed = awaited.purpose == ReplyPurpose::Rollback && reply.fault;
+    connection->reusable = reply.state == SessionState::Idle && !rollbackFailed;
+    if (awaited.purpose == ReplyPurpose::Setup && (reply.fault || reply.state == SessionState::Failed)) {
         actions_.emplace_back(CloseMemberConnection{key});
         connectionClosed(key, std::nullopt, now);
         return;
@@ -71,6 +73,8 @@
     }
     if (awaited.purpose == ReplyPurpose::Begin) {
         beginReplied(*connection, *group, *pool, reply, now);
+    } else if (awaited.purpose == ReplyPurpose::Setup && connection->awaited.empty()) {
+        setupReplied(*connection, *group, now);
     } else if (awaited.purpose == ReplyPurpose::Statement) {
         statementReplied(*connection, *group, *pool, reply, now);
     }
@@ -96,6 +100,27 @@
     pool.position = std::max(pool.position, *reply.position);
 }
 
+/// Sends the statement for which the connection is set up now.
+void Engine::setupReplied(PooledConnection &connection, Group &group, TimePoint now)
+{
+    auto &caller = callers_.at(connection.caller);
+    if (!mayStillSend(caller, connection, group, now)) {
+        exchangeFailed(connection.caller, caller, ExchangeEnd::NotSent, std::nullopt, now);
+        return;
+    }
+    sendStatement(caller, connection, caller.required, now);
+}
+
+/// Returns true unless the choice of the connection became wrong while it was set up.
+bool Engine::mayStillSend(const Caller &caller, const PooledConnection &connection, const Group &group, TimePoint now) const
+{
+    if (caller.fenced || connection.customer != caller.session.identity().customer) {
+        return false;
+    }
+    const bool newStatementAtPrimary = caller.sentToPrimary && caller.session.phase() == TransactionPhase::None;
+    return !newStatementAtPrimary || (connection.member == group.primary.member && primaryUsable(group, now));
+}
+
 void Engine::beginReplied(PooledConnection &connection, Group &group, MemberPool &pool, const MemberReply &reply, TimePoint now)
 {
     auto &caller = callers_.at(connection.caller);
@@ -107,8 +132,13 @@
         exchangeFailed(connection.caller, caller, ExchangeEnd::Refused, reply.fault, now);
         return;
     }
+    if (reply.state != SessionState::InTransaction) {
+        actions_.emplace_back(CloseMemberConnection{connection.key});
+        connectionClosed(connection.key, std::nullopt, now);
+        return;
+    }
     caller.session.transactionOpened();
-    sendStatement(caller, connection, std::nullopt, {}, now);
+    sendStatement(caller, connection, std::nullopt, now);
 }
 
 void Engine::statementReplied(PooledConnection &connection, Group &group, MemberPool &pool, const MemberReply &reply, TimePoint now)
@@ -159,7 +189,8 @@
     // Nothing of a transaction that is not open yet is kept at the member, so it can begin again elsewhere, as a read can run again.
     const bool beginDeferred = caller.session.phase() == TransactionPhase::BeginDeferred;
     const auto retryClass = beginDeferred ? RetryClass::Read : retryClassOf(caller.session, caller.statement);
-    auto decision = classifyFailure(retryClass, end, fault);
+    const bool settingUp = caller.activity == Activity::SettingUp;
+    auto decision = classifyFailure(retryClass, settingUp ? ExchangeEnd::NotSent : end, fault);
     Group *group = nullptr;
     MemberPool *pool = nullptr;
     auto *connection = findConnection(caller.connection, &group, &pool);
@@ -187,7 +218,7 @@
         pool->onFailure(now);
         dropConnection(caller.connection, *group, *pool);
         caller.connection = 0;
-    } else if (end == ExchangeEnd::Refused && connection != nullptr
+    } else if ((end == ExchangeEnd::Refused || end == ExchangeEnd::NotSent) && connection != nullptr
                && (beginDeferred || caller.session.phase() == TransactionPhase::None)) {
         connection->caller = 0;
         caller.connection = 0;
@@ -259,6 +290,11 @@
         dropConnection(connection.key, group, pool);
         return;
     }
+    if (!connection.reusable) {
+        dropConnection(connection.key, group, pool);
+        dispatchWaiting(group, now);
+        return;
+    }
     if (customers_.keysRequired() && yieldsToAnotherCustomer(connection, group, pool, now)) {
         dropConnection(connection.key, group, pool);
         dispatchWaiting(group, now);
--- a/src/relay/enginecustomers.cpp
+++ b/src/relay/enginecustomers.cpp
@@ -164,8 +164,9 @@
         endIdleSession(key, caller, now);
         break;
     case Activity::Waiting:
-    case Activity::Beginning: {
-        auto error = *caller.ending;
+    case Activity::Beginning:
+    case Activity::SettingUp: {
+        auto error = caller.session.phase() == TransactionPhase::Open ? withdrawnInTransaction() : *caller.ending;
         refuseEndedSession(key, caller, std::move(error), now);
         break;
     }
--- a/src/relay/enginedispatch.cpp
+++ b/src/relay/enginedispatch.cpp
@@ -197,15 +197,16 @@
     connection.stateSince = now;
     caller.connection = connection.key;
     caller.sentToPrimary = connection.member == group.primary.member;
+    caller.fenced = false;
     ++caller.attempts;
     const auto minPosition = caller.sentToPrimary ? std::nullopt : required;
     if (caller.session.phase() == TransactionPhase::None) {
-        sendStatement(caller, connection, minPosition, {}, now);
+        sendStatement(caller, connection, minPosition, now);
         return;
     }
     caller.activity = Activity::Beginning;
-    std::vector<MemberRequest> requests;
-    addSetupRequests(caller, connection, requests, now);
+    // The caller's statement waits for the reply to BEGIN, so it waits for the setup as well.
+    auto requests = setupRequests(caller, connection, now);
     MemberRequest begin;
     begin.verb = caller.session.readOnlyTransaction() ? MemberVerb::BeginReadOnly : MemberVerb::Begin;
     begin.minPosition = minPosition;
@@ -216,16 +217,24 @@
     actions_.emplace_back(SendToMember{connection.key, std::move(requests)});
 }
 
-/// Sends the caller's statement, after \a requests.
-void Engine::sendStatement(Caller &caller,
-                           PooledConnection &connection,
-                           const std::optional<LogPosition> &required,
-                           std::vector<MemberRequest> requests,
-                           TimePoint now)
+/// Sends the caller's statement, or first the setup that the connection lacks for it: a member may fail a setup request, and then runs the
+/// requests behind it all the same.
+void Engine::sendStatement(Caller &caller, PooledConnection &connection, const std::optional<LogPosition> &required, TimePoint now)
 {
     auto &group = groupState(caller.group);
     auto &pool = group.pools.at(connection.member);
-    addSetupRequests(caller, connection, requests, now);
+    const auto retryClass = retryClassOf(caller.session, caller.statement);
+    if (auto setup = setupRequests(caller, connection, now); !setup.empty()) {
+        caller.activity = Activity::SettingUp;
+        caller.required = required;
+        caller.sentAt = now;
+        // Nothing of the caller's has been sent, so a write can be given up here as early as a transaction's statement.
+        setTimer(connection.caller,
+                 caller,
+                 replyDue(caller, pool, retryClass == RetryClass::Read ? retryClass : RetryClass::InTransaction, now));
+        actions_.emplace_back(SendToMember{connection.key, std::move(setup)});
+        return;
+    }
     MemberRequest request;
     request.id = caller.statement.id;
     request.text = caller.statement.text;
@@ -235,29 +244,35 @@
         request.name = preparedNameOf(*caller.session.prepared(caller.statement.name));
         request.text = caller.statement.argument;
     }
-    requests.push_back(std::move(request));
     expectReply(connection, ReplyPurpose::Statement, now, caller.route.statementTimeout);
     caller.activity = Activity::Running;
     caller.sentAt = now;
     caller.othersInFlight = pool.count(PooledConnectionState::InUse) - 1;
-    const auto retryClass = retryClassOf(caller.session, caller.statement);
     if (retryClass == RetryClass::Write || retryClass == RetryClass::CommitOfWrites) {
         group.writeStallStartedAt = group.writeStallStartedAt.value_or(now);
     }
+    setTimer(connection.caller, caller, replyDue(caller, pool, retryClass, now));
+    actions_.emplace_back(SendToMember{connection.key, {std::move(request)}});
+}
+
+/// Returns when the reply to what is sent now for the caller counts as overdue.
+TimePoint Engine::replyDue(const Caller &caller, const MemberPool &pool, RetryClass retryClass, TimePoint now) const
+{
     const auto overdueAfter = wholeMilliseconds(pool.replyTime().withMargin(limits_.overdueFactor));
-    auto due = caller.deadline;
     if (retryClass == RetryClass::Read && caller.attempts < limits_.maxAttempts) {
-        due = std::min<TimePoint>(due, now + std::max(limits_.hedgeDelay, overdueAfter));
-    } else if (retryClass == RetryClass::InTransaction) {
-        due = std::min<TimePoint>(due, now + std::max(limits_.transactionReplyTimeout, overdueAfter));
+        return std::min<TimePoint>(caller.deadline, now + std::max(limits_.hedgeDelay, overdueAfter));
     }
-    setTimer(connection.caller, caller, due);
-    actions_.emplace_back(SendToMember{connection.key, std::move(requests)});
+    if (retryClass == RetryClass::InTransaction) {
+        return std::min<TimePoint>(caller.deadline, now + std::max(limits_.transactionReplyTimeout, overdueAfter));
+    }
+    return caller.deadline;
 }
 
-/// Adds the requests that apply the session's values and the prepared statement of an Execute to the connection.
-void Engine::addSetupRequests(const Caller &caller, PooledConnection &connection, std::vector<MemberRequest> &requests, TimePoint now)
+/// Returns the requests that apply the session's values and the prepared statement of an Execute to the connection, and expects their
+/// replies.
+std::vector<MemberRequest> Engine::setupRequests(const Caller &caller, PooledConnection &connection, TimePoint now)
 {
+    std::vector<MemberRequest> requests;
     const auto &values = caller.session.values();
     const bool hasExtraValues = std::any_of(
         connection.values.begin(), connection.values.end(), [&values](const auto &current) { return !values.contains(current.first); });
@@ -278,12 +293,13 @@
         }
     }
     if (caller.statement.kind != StatementKind::Execute) {
-        return;
+        return requests;
     }
     const auto &shape = *caller.session.prepared(caller.statement.name);
     if (connection.prepared.insert(preparedNameOf(shape)).second) {
         add(MemberRequest{MemberVerb::Prepare, {}, shape.shape, preparedNameOf(shape), shape.access});
     }
+    return requests;
 }
 
 void Engine::expectReply(PooledConnection &connection, ReplyPurpose purpose, TimePoint now, Milliseconds timeout)
--- a/src/relay/memberpool.h
+++ b/src/relay/memberpool.h
@@ -52,6 +52,8 @@
     PooledConnectionState state = PooledConnectionState::Opening;
     /// The caller that uses it; 0 for none.
     CallerKey caller = 0;
+    /// The last reply showed the session to be idle, and no request of this process's own failed; otherwise it serves no other caller.
+    bool reusable = true;
     /// When it entered its state.
     TimePoint stateSince;
     /// Session values set at the member for this connection.
