--- a/src/sessions/impl/percent.cpp
+++ b/src/base/percent.cpp
@@ -1,9 +1,9 @@
-// Percent-encoding of names inside a session token.
-#include "sessions/impl/percent.h"
+// Percent-encoding and its strict inverse.
+#include "base/percent.h"
 
 #include <cstddef>
 
-namespace cardamomstep::impl {
+namespace cardamomstep {
 
 namespace {
 
@@ -67,4 +67,4 @@
     return decoded;
 }
 
-} // namespace cardamomstep::impl
+} // namespace cardamomstep
--- a/src/gateway/catalogwatcher.h
+++ b/src/gateway/catalogwatcher.h
@@ -5,6 +5,7 @@
 #include "evloop/clock.h"
 #include "gateway/catalogrelay.h"
 #include "gateway/storewatcher.h"
+#include "gateway/unreadableentries.h"
 #include "logging/log.h"
 #include "relay/directory.h"
 #include "relay/routingtable.h"
@@ -49,6 +50,8 @@
     /// A call to the store for \a dependency ("configuration" or "members") failed.
     std::function<void(std::string_view dependency)> storeFailed;
     std::function<void(LogLevel level, std::string_view event, const std::vector<LogField> &fields)> log;
+    /// An entry of \a dependency cannot be read.
+    std::function<void(std::string_view dependency)> entryUnreadable;
 };
 
 /// Maintains the directory of members and reports configurations; \a Store is the platform's object store.
@@ -70,6 +73,7 @@
         , relay_(relay)
         , directory_(directory)
         , handlers_(std::move(handlers))
+        , unreadable_({handlers_.log, handlers_.entryUnreadable})
     {
     }
 
@@ -123,6 +127,8 @@
     }
 
 private:
+    static constexpr std::string_view membersDependency = "members";
+
     [[nodiscard]] Milliseconds configurationWait() const noexcept
     {
         return std::min(limits_.configurationWait, settings_.configurationDeadline * 2 / 3);
@@ -202,11 +208,11 @@
         StoreWatcherHandlers handlers;
         handlers.listed = [this](const StoreListing &listing) {
             applyMembers(listing);
-            storeReplied("members");
+            storeReplied(membersDependency);
         };
         handlers.changed = [this](const StoreChanges &changes) {
             applyMembers(changes);
-            storeReplied("members");
+            storeReplied(membersDependency);
         };
         handlers.relayed = [this](const ObjectUpdate &update) {
             const auto *changes = std::get_if<StoreChanges>(&update);
@@ -220,7 +226,7 @@
         };
         handlers.failed = [this](const Error &error) {
             directory_.storeFailed(evloop::bootTimeNow());
-            storeFailed("members", error);
+            storeFailed(membersDependency, error);
         };
         members_ = std::make_shared<StoreWatcher<Store>>(loop_,
                                                          Store(loop_, settings_.store, epochs_, calls_),
@@ -233,22 +239,38 @@
         relay_.attach(CatalogPart::Members, members_);
     }
 
+    /// Decodes a member's entry; one that cannot be read names no member.
+    std::optional<relay::MemberEntry> decodeMember(const StoredObject &object)
+    {
+        auto entry = object.deleted ? std::nullopt : Store::decodeMember(object);
+        unreadable_.onEntry(membersDependency, object, entry.has_value());
+        return entry;
+    }
+
     void applyMembers(const StoreListing &listing)
     {
+        unreadable_.onUnnamed(membersDependency, listing.unreadable, listing.revision);
         std::vector<relay::MemberEntry> entries;
+        std::vector<MemberName> unreadable;
         for (const auto &object : listing.objects) {
-            if (auto entry = Store::decodeMember(object)) {
+            if (auto entry = decodeMember(object)) {
                 entries.push_back(std::move(*entry));
+            } else {
+                unreadable.emplace_back(object.name.text());
             }
         }
         const auto now = evloop::bootTimeNow();
         directory_.replaceAll(entries, members_->completeAsOf(now), now);
+        for (const auto &name : unreadable) {
+            directory_.drop(name);
+        }
         membersListed_ = true;
         handlers_.membersChanged();
     }
 
     void applyMembers(const StoreChanges &changes)
     {
+        unreadable_.onUnnamed(membersDependency, changes.unreadable, changes.revision);
         for (const auto &object : changes.changes) {
             applyMember(object);
         }
@@ -260,7 +282,8 @@
     void applyMember(const StoredObject &object)
     {
         const MemberName name{object.name.text()};
-        const auto entry = object.deleted ? std::nullopt : Store::decodeMember(object);
+        const auto entry = decodeMember(object);
+        const bool known = directory_.find(name) != nullptr;
         if (object.deleted) {
             if (peerNotified_) {
                 // A long watch does not reveal an outage of the store, in which the entries of live members expire.
@@ -275,6 +298,11 @@
             if (!changed) {
                 return;
             }
+        } else {
+            directory_.drop(name);
+            if (!known) {
+                return;
+            }
         }
         handlers_.log(LogLevel::Info,
                       "member_entry",
@@ -310,6 +338,7 @@
     CatalogLimits limits_;
     relay::MemberDirectory &directory_;
     CatalogHandlers handlers_;
+    UnreadableEntries unreadable_;
     bool membersListed_ = false;
     /// Other processes would report changes that this process' watches missed, so the watches have long waits.
     bool peerNotified_ = false;
--- a/src/gateway/fleetobjects.h
+++ b/src/gateway/fleetobjects.h
@@ -31,6 +31,7 @@
         , registry_(registry)
         , leaseManager_(leaseManager)
         , primaryTableSync_(primaryTableSync)
+        , unreadable_({context.host.log, context.host.entryUnreadable})
     {
     }
 
@@ -44,6 +45,7 @@
         handlers.changed = [this](const StoreChanges &changes) {
             const auto now = evloop::bootTimeNow();
             context_.lastStoreReplyAt = now;
+            unreadable_.onUnnamed(fleetDependency, changes.unreadable, changes.revision);
             for (const auto &object : changes.changes) {
                 applyObject(object, now);
             }
@@ -74,6 +76,7 @@
     void applyListing(const StoreListing &listing, TimePoint now)
     {
         context_.lastStoreReplyAt = now;
+        unreadable_.onUnnamed(fleetDependency, listing.unreadable, listing.revision);
         // A listing for the records may be older than the entries that came with a renewal meanwhile.
         const bool entriesOutdated = listing.revision < storeWatcher_->history().complete();
         if (!entriesOutdated) {
@@ -124,6 +127,8 @@
     }
 
 private:
+    static constexpr std::string_view fleetDependency = "fleet";
+
     /// Applies the entries of all registered proxies, which came with a renewal.
     void applyRelayed(const StoreListing &listing, TimePoint now)
     {
@@ -182,6 +187,7 @@
 
     void applyDecoded(const leadership::FleetObject &decoded, const StoredObject &object, TimePoint now)
     {
+        unreadable_.onEntry(fleetDependency, object, leadership::isReadable(decoded));
         if (const auto *lease = std::get_if<leadership::LeaseState>(&decoded)) {
             leaseManager_.onStoredLease(object.deleted ? std::nullopt : std::optional(*lease), object.version.epoch, now);
         } else if (const auto *record = std::get_if<leadership::GroupRecord>(&decoded); record != nullptr && !object.deleted) {
@@ -207,6 +213,7 @@
     ProxyRegistry<Store> &registry_;
     LeaseManager<Store> &leaseManager_;
     PrimaryTableSync<Store> &primaryTableSync_;
+    UnreadableEntries unreadable_;
     std::shared_ptr<StoreWatcher<Store>> storeWatcher_;
     bool listed_ = false;
 };
--- a/src/gateway/leadershipcontext.h
+++ b/src/gateway/leadershipcontext.h
@@ -78,6 +78,8 @@
     std::function<void()> proxiesChanged;
     /// Returns the proxies that serve a customer.
     std::function<ServingProxies(const CustomerName &customer)> servingProxies;
+    /// An entry of \a dependency cannot be read.
+    std::function<void(std::string_view dependency)> entryUnreadable;
 };
 
 /// Shared by the parts of one LeadershipService, which all run on one event loop; outlives them.
--- a/src/gateway/proxymetrics.h
+++ b/src/gateway/proxymetrics.h
@@ -47,6 +47,11 @@
         metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
     }
 
+    void entryUnreadable(std::string_view dependency)
+    {
+        metrics_.count("store_entries_unreadable_total{of=\"" + std::string(dependency) + "\"}");
+    }
+
     /// Counts a session that was resumed locally after its proxy was lost (\a how is "taken_over"), or redirected to another ("sent_on").
     void sessionMoved(std::string_view how)
     {
--- a/src/gateway/proxyregistry.h
+++ b/src/gateway/proxyregistry.h
@@ -156,11 +156,14 @@
         return names;
     }
 
-    /// The registered proxies and where they stand.
+    /// The registered proxies that can be reached, and where they stand.
     [[nodiscard]] std::vector<leadership::ProxyLocation> locations() const
     {
         std::vector<leadership::ProxyLocation> locations;
         for (const auto &[instance, proxy] : proxies_) {
+            if (proxy.entry.address.empty()) {
+                continue;
+            }
             locations.push_back({instance, proxy.entry.failureDomain, proxy.entry.region});
         }
         return locations;
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -141,7 +141,8 @@
         const auto servingProxies = [this](const CustomerName &customer) {
             return placement_.servingProxies(customer);
         };
-        return LeadershipHost{engine_, directory_, logWriter(), [this] { perform(); }, proxiesChanged, servingProxies};
+        return LeadershipHost{
+            engine_, directory_, logWriter(), [this] { perform(); }, proxiesChanged, servingProxies, unreadableEntryCounter()};
     }
 
     CallerConnectionsHandlers callerHandlers()
@@ -226,9 +227,17 @@
             metrics_.storeFailed(dependency);
         };
         handlers.log = logWriter();
+        handlers.entryUnreadable = unreadableEntryCounter();
         return handlers;
     }
 
+    std::function<void(std::string_view)> unreadableEntryCounter()
+    {
+        return [this](std::string_view dependency) {
+            metrics_.entryUnreadable(dependency);
+        };
+    }
+
     /// Lists everything again when the store came back from an older copy, at a random time so that the fleet does not list at once.
     void onStoreEpoch(const StoreEpochChange &change)
     {
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -1,10 +1,13 @@
 // Names and JSON fields of the fleet's objects in the store.
 #include "leadership/recordjson.h"
 
+#include "http/address.h"
 #include "json/untrusted.h"
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace cardamomstep::leadership {
 
 namespace {
@@ -14,17 +17,132 @@
 constexpr std::string_view recordPrefix = "group.";
 constexpr std::string_view proxyPrefix = "proxy.";
 constexpr std::string_view leaseName = "lease";
+/// Stands for the holder of a lease that cannot be read; no instance has this name.
+constexpr std::string_view unknownHolder = "?";
+
+/// Numbers of fields are below this; a larger one could not be counted up.
+constexpr std::uint64_t numberLimit = std::uint64_t{1} << 63U;
 
-std::string textOf(const Json &value, const char *key)
+/// Reads the fields of one value, and notes whether all that are there have their types.
+class ValueReader
 {
-    const auto found = value.find(key);
-    return found != value.end() && found->is_string() ? found->get<std::string>() : std::string();
+public:
+    explicit ValueReader(std::string_view text)
+        : value_(json::parseUntrusted(text))
+        , readable_(!value_.is_discarded() && value_.is_object())
+    {
+    }
+
+    [[nodiscard]] bool readable() const noexcept
+    {
+        return readable_;
+    }
+
+    /// Returns the text in field \a key; an empty one if it is missing.
+    std::string text(const char *key)
+    {
+        const auto *field = find(key);
+        return check(field, field != nullptr && field->is_string()) ? field->get<std::string>() : std::string();
+    }
+
+    /// Returns the number in field \a key; 0 if it is missing.
+    std::uint64_t number(const char *key)
+    {
+        const auto *field = find(key);
+        const bool valid = field != nullptr && field->is_number_unsigned() && field->get<std::uint64_t>() < numberLimit;
+        return check(field, valid) ? field->get<std::uint64_t>() : 0;
+    }
+
+    bool flag(const char *key)
+    {
+        const auto *field = find(key);
+        return check(field, field != nullptr && field->is_boolean()) && field->get<bool>();
+    }
+
+    /// Returns the address in field \a key; an empty one if it is missing or empty.
+    Address address(const char *key)
+    {
+        Address address{text(key)};
+        if (!address.empty() && !http::parseAddress(address)) {
+            readable_ = false;
+        }
+        return address;
+    }
+
+private:
+    const Json *find(const char *key) const
+    {
+        if (!value_.is_object()) {
+            return nullptr;
+        }
+        const auto found = value_.find(key);
+        return found == value_.end() ? nullptr : &*found;
+    }
+
+    bool check(const Json *field, bool valid)
+    {
+        readable_ = readable_ && (field == nullptr || valid);
+        return valid;
+    }
+
+    Json value_;
+    bool readable_;
+};
+
+LeaseState leaseOf(const StoredObject &object)
+{
+    ValueReader reader(object.value);
+    LeaseState lease;
+    lease.holder = InstanceName{reader.text("holder")};
+    lease.renewals = reader.number("renewals");
+    lease.revision = object.version;
+    lease.writtenIn = StoreEpoch{reader.number("epoch")};
+    lease.fencingToken = reader.number("fence");
+    if (!reader.readable()) {
+        // Who held it may still rely on it, so it counts as held until nothing was written for a whole duration.
+        lease = {InstanceName{std::string(unknownHolder)}, 0, 0, object.version, object.version.epoch};
+    }
+    if (lease.fencingToken == 0) {
+        lease.fencingToken = fencingTokenOf({object.version.value, lease.writtenIn});
+    }
+    return lease;
 }
 
-std::uint64_t numberOf(const Json &value, const char *key)
+GroupRecord recordOf(const StoredObject &object, GroupName group)
 {
-    const auto found = value.find(key);
-    return found != value.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+    ValueReader reader(object.value);
+    GroupRecord record;
+    record.group = std::move(group);
+    record.primary = MemberName{reader.text("primary")};
+    record.generation = reader.number("generation");
+    record.changeInProgress = reader.flag("moving");
+    record.revision = object.version;
+    record.writtenIn = StoreEpoch{reader.number("epoch")};
+    if (reader.readable() && !record.primary.empty()) {
+        return record;
+    }
+    // Not confirmed, so nobody relies on it, and the lease holder writes it again.
+    GroupRecord unreadable;
+    unreadable.group = std::move(record.group);
+    unreadable.changeInProgress = true;
+    unreadable.revision = object.version;
+    unreadable.writtenIn = StoreEpoch{object.version.epoch.value + 1};
+    return unreadable;
+}
+
+ProxyEntry proxyOf(const StoredObject &object, InstanceName instance)
+{
+    ValueReader reader(object.value);
+    ProxyEntry entry{std::move(instance),
+                     reader.address("address"),
+                     reader.address("sessions"),
+                     FailureDomain{reader.text("failureDomain")},
+                     Region{reader.text("region")}};
+    if (reader.readable() && !entry.address.empty()) {
+        return entry;
+    }
+    // Primary changes still have to wait for the proxy, which may run; nobody can connect to it.
+    return ProxyEntry{entry.instance, {}, {}, {}, {}};
 }
 
 } // namespace
@@ -85,39 +203,29 @@
 
 FleetObject decodeFleetObject(const StoredObject &object)
 {
-    const auto value = json::parseUntrusted(object.value);
     const std::string_view name = object.name.text();
-    if (value.is_discarded() || !value.is_object()) {
-        return std::monostate{};
-    }
     if (name == leaseName) {
-        LeaseState lease;
-        lease.holder = InstanceName{textOf(value, "holder")};
-        lease.renewals = numberOf(value, "renewals");
-        lease.revision = object.version;
-        lease.writtenIn = StoreEpoch{numberOf(value, "epoch")};
-        const auto fencingToken = numberOf(value, "fence");
-        lease.fencingToken = fencingToken == 0 ? fencingTokenOf({object.version.value, lease.writtenIn}) : fencingToken;
-        return lease;
+        return leaseOf(object);
     }
     if (name.starts_with(recordPrefix)) {
-        GroupRecord record;
-        record.group = GroupName{std::string(name.substr(recordPrefix.size()))};
-        record.primary = MemberName{textOf(value, "primary")};
-        record.generation = numberOf(value, "generation");
-        record.changeInProgress = value.value("moving", Json(false)) == Json(true);
-        record.revision = object.version;
-        record.writtenIn = StoreEpoch{numberOf(value, "epoch")};
-        return record;
+        return recordOf(object, GroupName{std::string(name.substr(recordPrefix.size()))});
     }
-    if (name.starts_with(proxyPrefix)) {
-        return ProxyEntry{InstanceName{std::string(name.substr(proxyPrefix.size()))},
-                          Address{textOf(value, "address")},
-                          Address{textOf(value, "sessions")},
-                          FailureDomain{textOf(value, "failureDomain")},
-                          Region{textOf(value, "region")}};
+    if (const auto instance = instanceOf(object)) {
+        return proxyOf(object, *instance);
     }
     return std::monostate{};
 }
 
+bool isReadable(const FleetObject &decoded)
+{
+    if (const auto *lease = std::get_if<LeaseState>(&decoded)) {
+        return lease->holder.text() != unknownHolder;
+    }
+    if (const auto *record = std::get_if<GroupRecord>(&decoded)) {
+        return !record->primary.empty();
+    }
+    const auto *proxy = std::get_if<ProxyEntry>(&decoded);
+    return proxy == nullptr || !proxy->address.empty();
+}
+
 } // namespace cardamomstep::leadership
--- a/src/leadership/recordjson.h
+++ b/src/leadership/recordjson.h
@@ -43,8 +43,14 @@
 /// Returns the instance whose entry \a object is by its name; nothing for other objects.
 [[nodiscard]] std::optional<InstanceName> instanceOf(const StoredObject &object);
 
-/// A decoded object of the fleet; monostate when it cannot be decoded.
+/// A decoded object of the fleet; monostate when its name is of no kind that this release knows.
 using FleetObject = std::variant<std::monostate, GroupRecord, LeaseState, ProxyEntry>;
+
+/// Decodes \a object. Another writer may have stored a value that cannot be read: a lease is then held by an unknown holder, a record is
+/// not confirmed and has no primary, and a proxy has no address.
 [[nodiscard]] FleetObject decodeFleetObject(const StoredObject &object);
 
+/// Returns false if the value of the object that was decoded could not be read.
+[[nodiscard]] bool isReadable(const FleetObject &decoded);
+
 } // namespace cardamomstep::leadership
--- a/src/relay/directory.cpp
+++ b/src/relay/directory.cpp
@@ -44,14 +44,19 @@
         return;
     }
     if (now >= removalsTrustedFrom_) {
-        entries_.erase(name);
-        drainingSince_.erase(name);
-        removals_.erase(name);
+        drop(name);
         return;
     }
     removals_.try_emplace(name, now);
 }
 
+void MemberDirectory::drop(const MemberName &name)
+{
+    entries_.erase(name);
+    drainingSince_.erase(name);
+    removals_.erase(name);
+}
+
 void MemberDirectory::storeFailed(TimePoint now) noexcept
 {
     removalsTrustedFrom_ = std::max(removalsTrustedFrom_, now + limits_.expiryGrace);
--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -63,6 +63,9 @@
     /// Handles the removal of \a name from the store.
     void remove(const MemberName &name, TimePoint now);
 
+    /// Drops \a name at once: its entry is there and names no member.
+    void drop(const MemberName &name);
+
     /// Records that the store did not reply; removals are not trusted for `expiryGrace` after \a now.
     void storeFailed(TimePoint now) noexcept;
 
--- a/src/sessions/token.cpp
+++ b/src/sessions/token.cpp
@@ -2,7 +2,7 @@
 #include "sessions/token.h"
 
 #include "base/hash.h"
-#include "sessions/impl/percent.h"
+#include "base/percent.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -45,7 +45,7 @@
     if (equals == std::string_view::npos || equals == 0 || equals > SessionToken::maxGroupBytes) {
         return invalidToken("an entry is malformed");
     }
-    auto group = impl::percentDecoded(text.substr(0, equals));
+    auto group = percentDecoded(text.substr(0, equals));
     const auto position = parseLogPosition(text.substr(equals + 1));
     if (!group || !position) {
         return invalidToken("an entry is malformed");
@@ -109,7 +109,7 @@
         if (&entry != &entries_.front()) {
             text += ',';
         }
-        text += impl::percentEncoded(entry.group.text());
+        text += percentEncoded(entry.group.text());
         text += '=';
         text += toText(entry.position);
     }
@@ -134,7 +134,7 @@
     if (entries_.size() == maxGroups) {
         return Error{ErrorKind::TooLarge, "the session token already names the maximum of " + std::to_string(maxGroups) + " groups"};
     }
-    if (group.empty() || impl::percentEncoded(group.text()).size() > maxGroupBytes) {
+    if (group.empty() || percentEncoded(group.text()).size() > maxGroupBytes) {
         return Error{ErrorKind::TooLarge, "the group's name is empty or too long for a session token"};
     }
     return Success{};
--- a/src/store/object.h
+++ b/src/store/object.h
@@ -78,6 +78,8 @@
 struct StoreListing {
     Revision revision;
     std::vector<StoredObject> objects;
+    /// Number of objects that are left out because their names or revisions cannot be read.
+    std::uint32_t unreadable = 0;
 
     [[nodiscard]] bool operator==(const StoreListing &) const = default;
 };
@@ -90,6 +92,8 @@
     std::vector<StoredObject> changes;
     /// True when `after` is too old to resume from (status 410): a new listing is needed. `changes` is then empty.
     bool tooOld = false;
+    /// Number of changes that are left out because the names or revisions of their objects cannot be read.
+    std::uint32_t unreadable = 0;
 
     [[nodiscard]] bool operator==(const StoreChanges &) const = default;
 };
--- a/tests/platform/test_catalogwatcher.cpp
+++ b/tests/platform/test_catalogwatcher.cpp
@@ -142,3 +142,19 @@
     cr_assert(proxy.epochs->newest() == StoreEpoch{3});
     cr_assert(proxy.versions.back() == 5);
 }
+
+// A listing dropped a member whose entry another writer had overwritten, and a watch kept it as it was before.
+Test(catalogwatcher, anEntryThatBecomesUnreadableNamesNoMemberUntilItIsWrittenAgain)
+{
+    Relayed proxy;
+    const auto now = evloop::bootTimeNow();
+    proxy.renew(CatalogPart::Members,
+                {revision(0), revision(9), true, {member("m-1", revision(3), "ready"), member("m-2", revision(4), "ready")}},
+                now);
+    const StoredObject overwritten{ObjectKind{}, ObjectName{"m-1"}, revision(11), "null", false};
+    proxy.renew(CatalogPart::Members, {revision(9), revision(12), false, {overwritten}}, now);
+    cr_assert(proxy.directory.find(MemberName{"m-1"}) == nullptr);
+    cr_assert(proxy.directory.find(MemberName{"m-2"}) != nullptr);
+    proxy.renew(CatalogPart::Members, {revision(12), revision(14), false, {member("m-1", revision(13), "ready")}}, now);
+    cr_assert(proxy.directory.find(MemberName{"m-1"}) != nullptr);
+}
--- a/tests/platform/test_objectstore.cpp
+++ b/tests/platform/test_objectstore.cpp
@@ -132,3 +132,14 @@
     cr_assert(!listing);
     cr_assert(listing.error().kind == ErrorKind::CorruptAnswer);
 }
+
+// Another writer may choose any name; one with a blank, last on a page, made the request for the next page invalid.
+Test(platform, thePageAfterAnyNameIsRequested)
+{
+    asio::io_context loop;
+    const std::string page = R"({"items":[{"meta":{"name":"m 9&after=/x","revision":4},"spec":null}],"more":true,"asOf":9})";
+    SlowStore server(loop, {page, R"({"items":[],"more":false,"asOf":9})"}, page.size() * 2, Milliseconds{1});
+    const auto listing = listMembers(loop, server, Milliseconds{5'000});
+    cr_assert(listing && listing->objects.size() == 1);
+    cr_assert(server.requests.at(1).starts_with("GET /v1/objects/servers?after=m%209%26after%3D%2Fx HTTP/1.1"));
+}
