--- a/src/relay/callersession.cpp
+++ b/src/relay/callersession.cpp
@@ -1,7 +1,14 @@
 // Answers the statements that need no member, and updates a session's state from members' replies.
 #include "relay/callersession.h"
 
+#include "base/percent.h"
+
+#include <openssl/evp.h>
+
 #include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string_view>
 
 namespace cardamomstep::relay {
 
@@ -9,6 +16,23 @@
 
 /// The maximum number of values and prepared names in one session.
 constexpr std::size_t maxSessionEntries = 1024;
+/// The longest encoded shape that is part of its name at members; of a longer one, the digest is.
+constexpr std::size_t maxEncodedShapeBytes = 128;
+
+/// Returns the SHA-256 digest of \a text in hexadecimal digits.
+std::string digestText(std::string_view text)
+{
+    std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
+    unsigned int length = 0;
+    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string hexadecimal;
+    for (unsigned int index = 0; index < length; ++index) {
+        hexadecimal += digits[digest[index] >> 4U];
+        hexadecimal += digits[digest[index] & 0x0FU];
+    }
+    return hexadecimal;
+}
 
 } // namespace
 
@@ -19,7 +43,10 @@
 
 std::string preparedNameOf(const PreparedShape &shape)
 {
-    return (shape.access == Access::Write ? "w_" : "r_") + shape.shape;
+    const std::string prefix = shape.access == Access::Write ? "w" : "r";
+    // No encoded text contains '#', so the two forms differ.
+    const auto encoded = percentEncoded(shape.shape);
+    return encoded.size() <= maxEncodedShapeBytes ? prefix + '_' + encoded : prefix + '#' + digestText(shape.shape);
 }
 
 StatementDisposition CallerSession::handle(const SessionStatement &statement, CallerReply &reply)
--- a/src/relay/callersession.h
+++ b/src/relay/callersession.h
@@ -25,7 +25,8 @@
 
 /// Returns the name under which \a shape is prepared at members.
 ///
-/// It is the same for all sessions, so that they share the prepared statement.
+/// It is the same for all sessions, so that they share the prepared statement. It is one field of a line, whatever bytes the shape has,
+/// and differs for different shapes.
 [[nodiscard]] std::string preparedNameOf(const PreparedShape &shape);
 
 /// Returns true for statements that only change the session itself; they are not sent to a member.
--- a/tests/relay/test_units.cpp
+++ b/tests/relay/test_units.cpp
@@ -1,12 +1,16 @@
-// Tests of the retry decisions, the routing table, the member directory and the pool placement.
+// Tests of the retry decisions, names of prepared statements, the routing table, the member directory and the pool placement.
+#include "relay/callersession.h"
 #include "relay/directory.h"
 #include "relay/poolplacement.h"
 #include "relay/retrydecision.h"
 #include "relay/routingtable.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
+#include <string>
 
 using namespace cardamomstep;
 using namespace cardamomstep::relay;
@@ -106,3 +110,25 @@
     }
     cr_assert(sessions.size() == 6);
 }
+
+// `EXECUTE s1 salary0 100` of the shape "q2c wide" reached the member as an execution of another session's "q2c" with the item "wide".
+Test(relay, preparedNamesAreOneFieldAndDistinct)
+{
+    constexpr std::size_t maxNameBytes = 200;
+    const auto isField = [](const std::string &name) {
+        return !name.empty() && name.size() <= maxNameBytes
+            && std::all_of(name.begin(), name.end(), [](char character) { return character > ' ' && character < '\x7f'; });
+    };
+    cr_assert(preparedNameOf({Access::Write, "q2c"}) == "w_q2c");
+    const bool passed = rc::check("names of prepared statements", [&isField](const std::string &shape, const std::string &other) {
+        const std::string longShape(1'000, 'x');
+        const auto name = preparedNameOf({Access::Read, shape});
+        RC_ASSERT(isField(name) && isField(preparedNameOf({Access::Read, longShape + shape})));
+        RC_ASSERT((name == preparedNameOf({Access::Read, other})) == (shape == other));
+        RC_ASSERT((preparedNameOf({Access::Read, longShape + shape}) == preparedNameOf({Access::Read, longShape + other}))
+                  == (shape == other));
+        RC_ASSERT(name != preparedNameOf({Access::Write, shape}));
+        RC_ASSERT(name != preparedNameOf({Access::Read, shape + " wide"}));
+    });
+    cr_assert(passed);
+}
