--- a/src/gateway/primarychanges.h
+++ b/src/gateway/primarychanges.h
@@ -68,8 +68,11 @@
                            {"generation", static_cast<std::int64_t>(record.generation)},
                            {"fence", static_cast<std::int64_t>(context_.lease.fencingToken())}});
         ++lastId_.value;
+        // An earlier lease holder may have promoted a member up to the moment at which its lease ended.
+        const auto inheritedSettledAt = context_.lease.acquiredAt() + leadership::PrimaryChangeLimits{}.confirmTimeout;
         auto &running =
-            changes_.emplace(record.group, RunningChange{lastId_, leadership::PrimaryChange(record, *reason, now)}).first->second;
+            changes_.emplace(record.group, RunningChange{lastId_, leadership::PrimaryChange(record, *reason, now, inheritedSettledAt)})
+                .first->second;
         running.change.onAcknowledged(primaryTableSync_.acknowledged(record.group));
         running.change.setMembers(context_.host.directory.membersOf(record.group));
     }
@@ -217,7 +220,8 @@
                         continue;
                     }
                     const bool matchesWanted = record->confirmed() && record->primary == wanted.primary
-                        && record->generation == wanted.generation && record->changeInProgress == wanted.changeInProgress;
+                        && record->generation == wanted.generation && record->changeInProgress == wanted.changeInProgress
+                        && record->contested == wanted.contested;
                     if (matchesWanted && record->revision != wanted.revision) {
                         recordStored(ref, wanted, record->revision);
                         return;
--- a/src/gateway/recordwriter.h
+++ b/src/gateway/recordwriter.h
@@ -93,6 +93,7 @@
         if (!neverRecorded) {
             // The store may have lost the record of a promotion, so a primary change has to find out which member leads.
             record.changeInProgress = true;
+            record.contested = true;
             context_.recordRecovery.setUnverified(group);
         }
         const auto done = [this](const Result<StoredObject> &created) {
--- a/src/leadership/primarychange.cpp
+++ b/src/leadership/primarychange.cpp
@@ -5,7 +5,8 @@
 
 namespace cardamomstep::leadership {
 
-PrimaryChange::PrimaryChange(GroupRecord record, PrimaryChangeReason reason, TimePoint now, const PrimaryChangeLimits &limits)
+PrimaryChange::PrimaryChange(
+    GroupRecord record, PrimaryChangeReason reason, TimePoint now, TimePoint inheritedSettledAt, const PrimaryChangeLimits &limits)
     : limits_(limits)
     , record_(std::move(record))
     , reason_(reason)
@@ -15,6 +16,10 @@
 {
     if (record_.changeInProgress) {
         phase_ = Phase::Gathering;
+        contestedBefore_ = record_.contested;
+    }
+    if (inherited()) {
+        promotionsSettledAt_ = inheritedSettledAt;
     }
     record_.changeInProgress = true;
 }
@@ -39,6 +44,10 @@
         phase_ = Phase::Gathering;
         recordedAt_ = now;
         gatheringSince_ = now;
+    } else if (phase_ == Phase::Contesting) {
+        // What the members reported meanwhile counts for the choice.
+        record_.contested = true;
+        phase_ = Phase::Gathering;
     } else if (phase_ == Phase::Publishing) {
         phase_ = Phase::Finished;
     }
@@ -152,6 +161,9 @@
     case Phase::Recording:
         recording(actions, now);
         break;
+    case Phase::Contesting:
+        contesting(actions, now);
+        break;
     case Phase::Gathering:
         gathering(actions, now);
         break;
@@ -179,6 +191,17 @@
     retryAt_ = TimePoint::max();
 }
 
+void PrimaryChange::contesting(PrimaryChangeActions &actions, TimePoint now)
+{
+    if (now < retryAt_) {
+        return;
+    }
+    auto record = record_;
+    record.contested = true;
+    actions.emplace_back(StoreRecord{record});
+    retryAt_ = TimePoint::max();
+}
+
 void PrimaryChange::gathering(PrimaryChangeActions &actions, TimePoint now)
 {
     const bool ready = proxiesSettled(now);
@@ -190,7 +213,7 @@
     }
     retryAt_ = now + limits_.retryInterval;
     quiesceProxies(actions);
-    queryMembers(actions);
+    queryMembers(actions, now);
     const bool mayStillVerify = reason_ == PrimaryChangeReason::Unverified && now - recordedAt_ < limits_.memberTimeout;
     if ((ready || !planned()) && !mayStillVerify) {
         stopReplicas(actions);
@@ -210,10 +233,11 @@
     }
 }
 
-void PrimaryChange::queryMembers(PrimaryChangeActions &actions)
+/// Asks the members whose status is not known; all of them while a promotion may still take effect.
+void PrimaryChange::queryMembers(PrimaryChangeActions &actions, TimePoint now)
 {
     for (const auto &[name, member] : members_) {
-        if (!statuses_.contains(name)) {
+        if (!statuses_.contains(name) || now < promotionsSettledAt_) {
             actions.emplace_back(QueryMember{name});
         }
     }
@@ -330,6 +354,7 @@
     }
     auto record = record_;
     record.changeInProgress = false;
+    record.contested = false;
     record.primary = chosenMember_;
     ++record.generation;
     actions.emplace_back(StoreRecord{record});
--- a/src/leadership/primarychange.h
+++ b/src/leadership/primarychange.h
@@ -92,7 +92,13 @@
 class PrimaryChange
 {
 public:
-    PrimaryChange(GroupRecord record, PrimaryChangeReason reason, TimePoint now, const PrimaryChangeLimits &limits = {});
+    /// From \a inheritedSettledAt on, no promotion that an earlier lease holder requested can take effect; used only for a change that it
+    /// began.
+    PrimaryChange(GroupRecord record,
+                  PrimaryChangeReason reason,
+                  TimePoint now,
+                  TimePoint inheritedSettledAt,
+                  const PrimaryChangeLimits &limits = {});
 
     /// Records a position that a proxy acknowledged to a caller, also when that process has ended since.
     void onAcknowledged(const LogPosition &acknowledged);
@@ -135,6 +141,7 @@
 private:
     enum class Phase : std::uint8_t {
         Recording, ///< Stores that a change is in progress.
+        Contesting, ///< Stores that more than one member may have been promoted.
         Gathering, ///< Quiesces the proxies, stops the replicas and chooses the member to promote.
         Promoting, ///< Waits for the platform's reply to the promotion.
         Confirming, ///< Waits until the promoted member reports that it leads.
@@ -156,8 +163,9 @@
     };
 
     void recording(PrimaryChangeActions &actions, TimePoint now);
+    void contesting(PrimaryChangeActions &actions, TimePoint now);
     void gathering(PrimaryChangeActions &actions, TimePoint now);
-    void queryMembers(PrimaryChangeActions &actions);
+    void queryMembers(PrimaryChangeActions &actions, TimePoint now);
     /// The member that certainly leads, although the recorded primary may be outdated; nothing while that is not known.
     [[nodiscard]] std::optional<MemberName> verifiedLeader() const;
     /// True if \a member may have to be stopped or promoted: it is not known to lead.
@@ -182,6 +190,7 @@
     [[nodiscard]] bool confirmsLastPromotion() const;
     [[nodiscard]] bool leadsUndoubtedly(const MemberName &member) const;
     [[nodiscard]] std::uint64_t highestPossibleTerm() const noexcept;
+    [[nodiscard]] std::uint64_t termFloorFor(const MemberName &member) const;
     [[nodiscard]] bool proxiesSettled(TimePoint now) const;
     [[nodiscard]] bool allAcknowledgementsKnown() const;
     [[nodiscard]] bool replicasSettled() const;
@@ -228,7 +237,9 @@
     bool resumedByPromotion_ = false;
     /// Promotions by this change that may have taken effect, oldest first.
     std::vector<UnconfirmedPromotion> unconfirmedPromotions_;
-    /// From when none of them can take effect any more.
+    /// An earlier lease holder may have promoted more than one member.
+    bool contestedBefore_ = false;
+    /// From when none of them, and none of an earlier lease holder, can take effect any more.
     TimePoint promotionsSettledAt_;
     /// The highest term that one of them can have begun; 0 for none.
     std::uint64_t highestPromotedTerm_ = 0;
--- a/src/leadership/primarychangechoice.cpp
+++ b/src/leadership/primarychangechoice.cpp
@@ -2,6 +2,7 @@
 #include "leadership/primarychange.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cardamomstep::leadership {
 
@@ -75,17 +76,14 @@
 
 /// Returns true if \a member reports that it leads, and no other member can lead at a higher term.
 ///
-/// While a change is inherited, a member without a status may have been promoted last. The recorded primary cannot: to use it again is
-/// the last resort, after all others.
+/// In a change that is inherited and not contested, a member that leads was the only one promoted; the recorded primary was not.
 bool PrimaryChange::leadsUndoubtedly(const MemberName &member) const
 {
     const auto status = statuses_.find(member);
     if (status == statuses_.end() || !status->second.reply.primary || status->second.reply.term < highestPossibleTerm()) {
         return false;
     }
-    return !inherited() || std::all_of(members_.begin(), members_.end(), [this](const auto &other) {
-        return other.first == record_.primary || statuses_.contains(other.first);
-    });
+    return !inherited() || (!record_.contested && member != record_.primary);
 }
 
 void PrimaryChange::chooseMember(PrimaryChangeActions &actions, TimePoint now)
@@ -142,24 +140,46 @@
     startPublishing(record_.primary);
 }
 
-/// Requests the promotion of \a member, but not while that of another may still take effect: the later effect would count.
+/// Requests the promotion of \a member, but not while that of another may still take effect: the later effect would count. That there are
+/// two is stored first, for a lease holder that takes over.
 void PrimaryChange::startPromoting(const MemberName &member, PrimaryChangeActions &actions, TimePoint now)
 {
-    const bool promotedLast = !unconfirmedPromotions_.empty() && unconfirmedPromotions_.back().member == member;
-    if (now < promotionsSettledAt_ && !promotedLast) {
+    const auto isThis = [&member](const auto &promotion) {
+        return promotion.member == member;
+    };
+    const bool onlyThis = !inherited() && std::all_of(unconfirmedPromotions_.begin(), unconfirmedPromotions_.end(), isThis);
+    if (now < promotionsSettledAt_ && !onlyThis) {
         return;
     }
-    const auto status = statuses_.find(member);
-    const bool mayLeadAlready = member == record_.primary || (status != statuses_.end() && status->second.reply.primary)
-        || std::any_of(unconfirmedPromotions_.begin(), unconfirmedPromotions_.end(), [&member](const auto &promotion) {
-                                    return promotion.member == member;
-                                });
-    const std::uint64_t highestTerm = std::max(highestPossibleTerm(), inherited() ? highestTerm_ + 1 : 0);
-    termFloor_ = mayLeadAlready ? highestTerm : 0;
+    if (!onlyThis && !record_.contested) {
+        phase_ = Phase::Contesting;
+        retryAt_ = now;
+        contesting(actions, now);
+        return;
+    }
+    termFloor_ = termFloorFor(member);
     chosenMember_ = member;
     phase_ = Phase::Promoting;
     actions.emplace_back(PromoteMember{chosenMember_, unconfirmedPromotions_.size()});
     retryAt_ = TimePoint::max();
 }
 
+/// Returns the term above which \a member can only lead by a promotion that is requested now; 0 if any term shows that.
+std::uint64_t PrimaryChange::termFloorFor(const MemberName &member) const
+{
+    if (contestedBefore_) {
+        // Nobody knows how many promotions there were, so no term is high enough.
+        return std::numeric_limits<std::uint64_t>::max();
+    }
+    const auto status = statuses_.find(member);
+    const bool leads = status != statuses_.end() && status->second.reply.primary;
+    const bool promotedBefore = std::any_of(unconfirmedPromotions_.begin(), unconfirmedPromotions_.end(), [&member](const auto &promotion) {
+        return promotion.member == member;
+    });
+    if (member != record_.primary && !leads && !promotedBefore) {
+        return 0;
+    }
+    return std::max(highestPossibleTerm(), inherited() ? highestTerm_ + 1 : 0);
+}
+
 } // namespace cardamomstep::leadership
--- a/src/leadership/primarytable.cpp
+++ b/src/leadership/primarytable.cpp
@@ -19,7 +19,10 @@
         // A renewal of the older record does not apply to the newer one.
         entry.validUntil = TimePoint{};
     }
+    // Proxies pass a record on without this.
+    const bool contested = record.contested || (entry.record.contested && entry.record.revision == record.revision);
     entry.record = record;
+    entry.record.contested = contested;
     return true;
 }
 
--- a/src/leadership/record.h
+++ b/src/leadership/record.h
@@ -28,6 +28,8 @@
     Revision revision;
     /// The epoch of the store in which a lease holder wrote this version.
     StoreEpoch writtenIn;
+    /// While a change is in progress: more than one member may have been promoted for it. Only the store and the lease holder know.
+    bool contested = false;
 
     /// False when the store may have lost a newer version, or when a write from an earlier epoch of the store was executed late.
     [[nodiscard]] bool confirmed() const noexcept
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -116,6 +116,7 @@
     record.primary = MemberName{reader.text("primary")};
     record.generation = reader.number("generation");
     record.changeInProgress = reader.flag("moving");
+    record.contested = reader.flag("contested");
     record.revision = object.version;
     record.writtenIn = StoreEpoch{reader.number("epoch")};
     if (reader.readable() && !record.primary.empty()) {
@@ -125,6 +126,7 @@
     GroupRecord unreadable;
     unreadable.group = std::move(record.group);
     unreadable.changeInProgress = true;
+    unreadable.contested = true;
     unreadable.revision = object.version;
     unreadable.writtenIn = StoreEpoch{object.version.epoch.value + 1};
     return unreadable;
@@ -174,11 +176,14 @@
 
 std::string encode(const GroupRecord &record)
 {
-    return Json{{"primary", record.primary.text()},
-                {"generation", record.generation},
-                {"moving", record.changeInProgress},
-                {"epoch", record.writtenIn.value}}
-        .dump();
+    Json value{{"primary", record.primary.text()},
+               {"generation", record.generation},
+               {"moving", record.changeInProgress},
+               {"epoch", record.writtenIn.value}};
+    if (record.contested) {
+        value["contested"] = true;
+    }
+    return value.dump();
 }
 
 std::string encodeLease(const InstanceName &holder, std::uint64_t fencingToken, std::uint64_t renewals, StoreEpoch epoch)
--- a/src/leadership/recordrecovery.cpp
+++ b/src/leadership/recordrecovery.cpp
@@ -92,6 +92,7 @@
         replacement.primary = known != nullptr && known->generation > stored.generation ? known->primary : stored.primary;
         replacement.generation = std::max({firstGenerationOf(epoch_), stored.generation + 1, knownGeneration + 1});
         replacement.changeInProgress = true;
+        replacement.contested = true;
         unverified_.insert(stored.group);
     }
     replacement.revision = stored.revision;
--- a/tests/leadership/test_promotionsearch.cpp
+++ b/tests/leadership/test_promotionsearch.cpp
@@ -34,3 +34,9 @@
 {
     playAll(false);
 }
+
+// A lease holder was lost after it had promoted a member, or two, that its successor could not reach.
+Test(promotionsearch, noPrimaryIsRecordedBesideAMemberThatALostLeaseHolderPromoted)
+{
+    playAll(true);
+}
