--- a/src/leadership/fleetlease.cpp
+++ b/src/leadership/fleetlease.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+const InstanceName &unknownHolder()
+{
+    static const InstanceName name{"?"};
+    return name;
+}
+
 std::uint64_t fencingTokenOf(Revision revision) noexcept
 {
     const bool representable = (revision.value >> tokenNumberBits) == 0 && (revision.epoch.value >> tokenEpochBits) == 0;
@@ -56,7 +62,9 @@
     contentionDelay_ =
         Milliseconds{static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(limits_.maxContentionDelay.count()) + 1))};
     const bool mine = state && state->holder == self_ && state->fencingToken == fencingToken_;
-    if (held_ && !mine && storedLeaseConfirmed()) {
+    // Nobody takes a lease with an unknown holder before this process's own has ended, and this process writes it again.
+    const bool overwritten = state && state->holder == unknownHolder();
+    if (held_ && !mine && !overwritten && storedLeaseConfirmed()) {
         held_ = false;
     }
     if (!state || state->holder != self_) {
--- a/src/leadership/fleetlease.h
+++ b/src/leadership/fleetlease.h
@@ -46,6 +46,9 @@
     [[nodiscard]] bool operator==(const LeaseState &) const = default;
 };
 
+/// Stands for the holder of a stored lease that cannot be read, because another writer has overwritten it; no instance has this name.
+[[nodiscard]] const InstanceName &unknownHolder();
+
 /// The lease as reported by the holder, or by a proxy that received the holder's report.
 struct LeaseReport {
     InstanceName holder;
--- a/src/leadership/primarychange.cpp
+++ b/src/leadership/primarychange.cpp
@@ -204,6 +204,11 @@
 
 void PrimaryChange::gathering(PrimaryChangeActions &actions, TimePoint now)
 {
+    if (inherited() && !inheritedSettled_ && now >= promotionsSettledAt_) {
+        inheritedSettled_ = true;
+        // What members reported until now may be of before a promotion that an earlier lease holder requested.
+        gatherAgain(now);
+    }
     const bool ready = proxiesSettled(now);
     if (ready) {
         chooseMember(actions, now);
--- a/src/leadership/primarychange.h
+++ b/src/leadership/primarychange.h
@@ -239,6 +239,8 @@
     std::vector<UnconfirmedPromotion> unconfirmedPromotions_;
     /// An earlier lease holder may have promoted more than one member.
     bool contestedBefore_ = false;
+    /// Promotions of an earlier lease holder can no longer take effect, and the members were asked again since.
+    bool inheritedSettled_ = false;
     /// From when none of them, and none of an earlier lease holder, can take effect any more.
     TimePoint promotionsSettledAt_;
     /// The highest term that one of them can have begun; 0 for none.
--- a/src/leadership/primarychangechoice.cpp
+++ b/src/leadership/primarychangechoice.cpp
@@ -90,7 +90,8 @@
         startPublishing(unconfirmedPromotions_.back().member);
         return;
     }
-    if (reason_ == PrimaryChangeReason::Unverified && stoppedReplicas_.empty() && now >= promotionsSettledAt_) {
+    const bool mayVerify = (reason_ == PrimaryChangeReason::Unverified && stoppedReplicas_.empty()) || contestedBefore_;
+    if (mayVerify && unconfirmedPromotions_.empty() && now >= promotionsSettledAt_) {
         if (const auto leader = verifiedLeader()) {
             startPublishing(*leader);
             return;
--- a/src/leadership/recordjson.cpp
+++ b/src/leadership/recordjson.cpp
@@ -17,8 +17,8 @@
 constexpr std::string_view recordPrefix = "group.";
 constexpr std::string_view proxyPrefix = "proxy.";
 constexpr std::string_view leaseName = "lease";
-/// Stands for the holder of a lease that cannot be read; no instance has this name.
-constexpr std::string_view unknownHolder = "?";
+/// Fencing token of a lease that cannot be read: below that of every lease that was taken.
+constexpr std::uint64_t unreadableFence = 1;
 
 /// Numbers of fields are below this; a larger one could not be counted up.
 constexpr std::uint64_t numberLimit = std::uint64_t{1} << 63U;
@@ -38,6 +38,11 @@
         return readable_;
     }
 
+    [[nodiscard]] bool has(const char *key) const
+    {
+        return find(key) != nullptr;
+    }
+
     /// Returns the text in field \a key; an empty one if it is missing.
     std::string text(const char *key)
     {
@@ -100,7 +105,7 @@
     lease.fencingToken = reader.number("fence");
     if (!reader.readable()) {
         // Who held it may still rely on it, so it counts as held until nothing was written for a whole duration.
-        lease = {InstanceName{std::string(unknownHolder)}, 0, 0, object.version, object.version.epoch};
+        lease = {unknownHolder(), unreadableFence, 0, object.version, object.version.epoch};
     }
     if (lease.fencingToken == 0) {
         lease.fencingToken = fencingTokenOf({object.version.value, lease.writtenIn});
@@ -119,7 +124,9 @@
     record.contested = reader.flag("contested");
     record.revision = object.version;
     record.writtenIn = StoreEpoch{reader.number("epoch")};
-    if (reader.readable() && !record.primary.empty()) {
+    // The lease holder writes a record without a primary in place of an unreadable one, until it knows who leads.
+    const bool complete = reader.has("primary") && (!record.primary.empty() || record.changeInProgress);
+    if (reader.readable() && complete) {
         return record;
     }
     // Not confirmed, so nobody relies on it, and the lease holder writes it again.
@@ -224,10 +231,10 @@
 bool isReadable(const FleetObject &decoded)
 {
     if (const auto *lease = std::get_if<LeaseState>(&decoded)) {
-        return lease->holder.text() != unknownHolder;
+        return lease->holder != unknownHolder();
     }
     if (const auto *record = std::get_if<GroupRecord>(&decoded)) {
-        return !record->primary.empty();
+        return !record->primary.empty() || record->confirmed();
     }
     const auto *proxy = std::get_if<ProxyEntry>(&decoded);
     return proxy == nullptr || !proxy->address.empty();
--- a/tests/platform/test_foreignentries.cpp
+++ b/tests/platform/test_foreignentries.cpp
@@ -236,6 +236,10 @@
     cr_assert(writes.size() == 1 && writes.front().revision == (Revision{20, epoch}) && writes.front().writtenIn == epoch);
     cr_assert(writes.front().changeInProgress, "a primary change has to find out who leads");
     cr_assert(recovery.unverified(GroupName{"g"}));
+    // What was written is no unreadable record that would be written again and again.
+    const auto rewritten = std::get<leadership::GroupRecord>(
+        leadership::decodeFleetObject(StoredObject{key.kind, key.name, Revision{21, epoch}, leadership::encode(writes.front()), false}));
+    cr_assert(leadership::isReadable(rewritten) && rewritten.confirmed() && rewritten.changeInProgress);
     // A lease holder that knows the record writes it as it was.
     leadership::GroupRecord known;
     known.group = GroupName{"g"};
