--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -29,7 +29,7 @@
 cardamomstep_library(records json http customers)
 cardamomstep_test(records)
 
-cardamomstep_library(store base http)
+cardamomstep_library(store base http json)
 cardamomstep_test(store)
 cardamomstep_library(membership base store)
 cardamomstep_test(membership)
--- a/src/store/impl/storejson.cpp
+++ b/src/store/impl/storejson.cpp
@@ -1,11 +1,14 @@
 // Parses and checks the store's JSON replies.
 #include "store/impl/storejson.h"
 
+#include "json/rawjson.h"
 #include "json/untrusted.h"
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <string>
+#include <utility>
 
 namespace cardamomstep::impl {
 
@@ -39,45 +42,66 @@
     return Revision{found->get<std::uint64_t>()};
 }
 
-std::optional<StoredObject> objectIn(const Json &json)
+Json parsedOrNull(std::string_view text)
 {
-    const auto version = revisionIn(json, "version");
-    if (!version) {
+    auto value = json::parseUntrusted(text);
+    return value.is_discarded() ? Json() : value;
+}
+
+/// Decodes one object of a reply; nothing if its name or version cannot be read. A value that cannot be read counts as null.
+std::optional<StoredObject> objectIn(std::string_view text)
+{
+    const auto fields = json::rawFieldsOf(text);
+    if (!fields) {
         return std::nullopt;
     }
-    const auto kind = textIn(json, "kind");
-    const auto name = textIn(json, "name");
-    if (!kind || !name || kind->empty() || name->empty()) {
+    const auto kind = parsedOrNull(json::rawValueOf(*fields, "kind"));
+    const auto name = parsedOrNull(json::rawValueOf(*fields, "name"));
+    const auto version = parsedOrNull(json::rawValueOf(*fields, "version"));
+    const bool named = kind.is_string() && !kind.get_ref<const std::string &>().empty() && name.is_string()
+        && !name.get_ref<const std::string &>().empty();
+    if (!named || !version.is_number_unsigned()) {
         return std::nullopt;
     }
-    StoredObject object{ObjectKind{*kind}, ObjectName{*name}, *version, {}, false};
-    const auto deleted = json.find("deleted");
-    object.deleted = deleted != json.end() && deleted->is_boolean() && deleted->get<bool>();
-    const auto value = json.find("value");
+    StoredObject object{
+        ObjectKind{kind.get<std::string>()}, ObjectName{name.get<std::string>()}, Revision{version.get<std::uint64_t>()}, {}, false};
+    object.deleted = parsedOrNull(json::rawValueOf(*fields, "deleted")) == Json(true);
+    const auto value = json::rawValueOf(*fields, "value");
     if (!object.deleted) {
-        if (value == json.end()) {
+        if (value.empty()) {
             return std::nullopt;
         }
-        object.value = value->dump();
+        object.value = parsedOrNull(value).dump();
     }
     return object;
 }
 
-bool readObjects(const Json &json, const char *field, std::vector<StoredObject> &objects)
+/// The objects of a reply, and its revision.
+struct ReplyObjects {
+    Revision revision;
+    std::vector<StoredObject> objects;
+    std::uint32_t unreadable = 0;
+};
+
+/// Decodes the objects in the array \a key one by one, as any process may have written them; nothing if the reply has no such array.
+std::optional<ReplyObjects> objectsIn(std::string_view body, std::string_view key)
 {
-    const auto list = json.find(field);
-    if (list == json.end() || !list->is_array()) {
-        return false;
+    const auto fields = json::rawFieldsOf(body);
+    const auto elements = fields ? json::rawElementsOf(json::rawValueOf(*fields, key)) : std::nullopt;
+    const auto revision = fields ? parsedOrNull(json::rawValueOf(*fields, "revision")) : Json();
+    if (!elements || !revision.is_number_unsigned()) {
+        return std::nullopt;
     }
-    objects.reserve(list->size());
-    for (const auto &entry : *list) {
-        auto object = objectIn(entry);
-        if (!object) {
-            return false;
+    ReplyObjects reply{Revision{revision.get<std::uint64_t>()}, {}, 0};
+    reply.objects.reserve(elements->size());
+    for (const auto element : *elements) {
+        if (auto object = objectIn(element)) {
+            reply.objects.push_back(std::move(*object));
+        } else {
+            ++reply.unreadable;
         }
-        objects.push_back(std::move(*object));
     }
-    return true;
+    return reply;
 }
 
 } // namespace
@@ -89,7 +113,7 @@
 
 Result<StoredObject> parseObject(std::string_view body)
 {
-    auto object = objectIn(json::parseUntrusted(body));
+    auto object = objectIn(body);
     if (!object) {
         return malformed("an object was expected");
     }
@@ -98,40 +122,35 @@
 
 Result<StoreListing> parseListing(std::string_view body)
 {
-    const auto json = json::parseUntrusted(body);
-    const auto revision = revisionIn(json, "revision");
-    StoreListing listing;
-    if (!revision || !readObjects(json, "objects", listing.objects)) {
+    auto reply = objectsIn(body, "objects");
+    if (!reply) {
         return malformed("a listing was expected");
     }
-    listing.revision = *revision;
-    return listing;
+    return StoreListing{reply->revision, std::move(reply->objects), reply->unreadable};
 }
 
 Result<StoreChanges> parseChanges(std::string_view body, Revision after)
 {
-    const auto json = json::parseUntrusted(body);
-    const auto revision = revisionIn(json, "revision");
-    StoreChanges changes;
-    if (!revision || !readObjects(json, "events", changes.changes)) {
+    auto reply = objectsIn(body, "events");
+    if (!reply) {
         return malformed("changes were expected");
     }
-    changes.after = after;
-    changes.revision = *revision;
-    return changes;
+    return StoreChanges{after, reply->revision, std::move(reply->objects), false, reply->unreadable};
 }
 
 Result<std::vector<ListedInstance>> parseInstances(std::string_view body)
 {
-    const auto json = json::parseUntrusted(body);
-    if (!json.is_object() || !json.contains("instances") || !json["instances"].is_array()) {
+    const auto fields = json::rawFieldsOf(body);
+    const auto elements = fields ? json::rawElementsOf(json::rawValueOf(*fields, "instances")) : std::nullopt;
+    if (!elements) {
         return malformed("an instance list was expected");
     }
     std::vector<ListedInstance> instances;
-    for (const auto &entry : json["instances"]) {
+    for (const auto element : *elements) {
+        const auto entry = parsedOrNull(element);
         const auto name = entry.is_object() ? textIn(entry, "name") : std::nullopt;
         if (!name || name->empty()) {
-            return malformed("an instance has no name");
+            continue;
         }
         ListedInstance instance;
         instance.name = *name;
