--- a/src/gateway/proxymetrics.h
+++ b/src/gateway/proxymetrics.h
@@ -7,6 +7,7 @@
 #include "relay/engine.h"
 #include "store/storecalls.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -47,9 +48,12 @@
         metrics_.count("store_failures_total{of=\"" + std::string(dependency) + "\"}");
     }
 
-    void entryUnreadable(std::string_view dependency)
+    /// Returns a function that counts one unreadable entry of a dependency.
+    [[nodiscard]] std::function<void(std::string_view dependency)> unreadableEntryCounter()
     {
-        metrics_.count("store_entries_unreadable_total{of=\"" + std::string(dependency) + "\"}");
+        return [this](std::string_view dependency) {
+            metrics_.count("store_entries_unreadable_total{of=\"" + std::string(dependency) + "\"}");
+        };
     }
 
     /// Counts a session that was resumed locally after its proxy was lost (\a how is "taken_over"), or redirected to another ("sent_on").
--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -142,7 +142,7 @@
             return placement_.servingProxies(customer);
         };
         return LeadershipHost{
-            engine_, directory_, logWriter(), [this] { perform(); }, proxiesChanged, servingProxies, unreadableEntryCounter()};
+            engine_, directory_, logWriter(), [this] { perform(); }, proxiesChanged, servingProxies, metrics_.unreadableEntryCounter()};
     }
 
     CallerConnectionsHandlers callerHandlers()
@@ -227,17 +227,10 @@
             metrics_.storeFailed(dependency);
         };
         handlers.log = logWriter();
-        handlers.entryUnreadable = unreadableEntryCounter();
+        handlers.entryUnreadable = metrics_.unreadableEntryCounter();
         return handlers;
     }
 
-    std::function<void(std::string_view)> unreadableEntryCounter()
-    {
-        return [this](std::string_view dependency) {
-            metrics_.entryUnreadable(dependency);
-        };
-    }
-
     /// Lists everything again when the store came back from an older copy, at a random time so that the fleet does not list at once.
     void onStoreEpoch(const StoreEpochChange &change)
     {
