--- a/src/leadership/primarychangechoice.cpp
+++ b/src/leadership/primarychangechoice.cpp
@@ -30,8 +30,9 @@
     std::vector<Candidate> candidates;
     for (const auto &name : stoppedReplicas_) {
         const auto member = members_.find(name);
-        if (member != members_.end() && !refusedMembers_.contains(name)) {
-            candidates.push_back({name, statuses_.at(name).reply.received, member->second.draining});
+        const auto status = statuses_.find(name);
+        if (member != members_.end() && status != statuses_.end() && !refusedMembers_.contains(name)) {
+            candidates.push_back({name, status->second.reply.received, member->second.draining});
         }
     }
     if (candidates.empty()) {
--- a/tests/platform/test_foreignentries.cpp
+++ b/tests/platform/test_foreignentries.cpp
@@ -163,6 +163,14 @@
     }
 }
 
+Test(foreignentries, aReplyWhoseObjectsCannotBeToldApartIsNoEmptyListing)
+{
+    for (const char *items : {"[{},,{}]", "[{}", "null", "{}", "7", "[{},]"}) {
+        cr_assert(!decodeListing(memberKind, epoch, std::string(R"({"asOf":9,"items":)") + items + "}"), "%s", items);
+        cr_assert(!decodeChanges(memberKind, Revision{3, epoch}, std::string(R"({"asOf":9,"events":)") + items + "}"), "%s", items);
+    }
+}
+
 Test(foreignentries, anEntryOfAMemberIsReadWhateverElseItHolds)
 {
     const auto usual = decodeMember(ObjectName{"m-1"}, entryWith("", ""));
