--- a/src/gateway/sessionproxy.h
+++ b/src/gateway/sessionproxy.h
@@ -12,6 +12,7 @@
 #include "gateway/proxymetrics.h"
 #include "gateway/routepage.h"
 #include "gateway/sessionplacement.h"
+#include "gateway/sessionproxylimits.h"
 #include "gateway/statuspage.h"
 #include "logging/boundedlog.h"
 #include "relay/engine.h"
@@ -25,18 +26,6 @@
 
 namespace cardamomstep::gateway {
 
-/// Limits of a SessionProxy.
-struct SessionProxyLimits {
-    /// Time between two writes of the log.
-    Milliseconds logInterval{100};
-    /// Time for which a stopping proxy still accepts new connections.
-    Milliseconds acceptAfterStop{2500};
-    /// Time after that for the connections that were accepted last.
-    Milliseconds lastConnectionsGrace{250};
-    /// Longest random delay before the store is listed again after it changed its epoch, so that a fleet does not list at once.
-    Milliseconds epochListingSpread{400};
-};
-
 /// One session proxy process; \a Wire is the line format, \a Store and \a Promoter are the platform's services.
 template<relay::WireCodec Wire, typename Store, typename Promoter>
 class SessionProxy
--- a/src/gateway/unreadableentries.h
+++ b/src/gateway/unreadableentries.h
@@ -58,6 +58,7 @@
     }
 
 private:
+    /// The number of unreadable entries that are remembered.
     static constexpr std::size_t maxKnown = 1000;
 
     void report(std::string_view dependency, const std::string &name, Revision revision)
--- a/src/json/untrusted.h
+++ b/src/json/untrusted.h
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace cardamomstep::json {
@@ -47,4 +49,18 @@
     return nlohmann::json::parse(text, nullptr, false);
 }
 
+/// Parses \a text as parseUntrusted() does; returns null in place of a discarded value.
+[[nodiscard]] inline nlohmann::json parseUntrustedOrNull(std::string_view text)
+{
+    auto value = parseUntrusted(text);
+    return value.is_discarded() ? nlohmann::json() : value;
+}
+
+/// Returns the text in field \a key of \a object, which must be an object; nothing if the field is missing or has another type.
+[[nodiscard]] inline std::optional<std::string> textIn(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? std::optional(found->get<std::string>()) : std::nullopt;
+}
+
 } // namespace cardamomstep::json
--- a/src/store/impl/storejson.cpp
+++ b/src/store/impl/storejson.cpp
@@ -21,15 +21,6 @@
     return {ErrorKind::StoreUnavailable, std::string("the store's reply is malformed: ") + what};
 }
 
-std::optional<std::string> textIn(const Json &object, const char *field)
-{
-    const auto found = object.find(field);
-    if (found == object.end() || !found->is_string()) {
-        return std::nullopt;
-    }
-    return found->get<std::string>();
-}
-
 std::optional<Revision> revisionIn(const Json &object, const char *field)
 {
     if (!object.is_object()) {
@@ -42,12 +33,6 @@
     return Revision{found->get<std::uint64_t>()};
 }
 
-Json parsedOrNull(std::string_view text)
-{
-    auto value = json::parseUntrusted(text);
-    return value.is_discarded() ? Json() : value;
-}
-
 /// Decodes one object of a reply; nothing if its name or version cannot be read. A value that cannot be read counts as null.
 std::optional<StoredObject> objectIn(std::string_view text)
 {
@@ -55,9 +40,9 @@
     if (!fields) {
         return std::nullopt;
     }
-    const auto kind = parsedOrNull(json::rawValueOf(*fields, "kind"));
-    const auto name = parsedOrNull(json::rawValueOf(*fields, "name"));
-    const auto version = parsedOrNull(json::rawValueOf(*fields, "version"));
+    const auto kind = json::parseUntrustedOrNull(json::rawValueOf(*fields, "kind"));
+    const auto name = json::parseUntrustedOrNull(json::rawValueOf(*fields, "name"));
+    const auto version = json::parseUntrustedOrNull(json::rawValueOf(*fields, "version"));
     const bool named = kind.is_string() && !kind.get_ref<const std::string &>().empty() && name.is_string()
         && !name.get_ref<const std::string &>().empty();
     if (!named || !version.is_number_unsigned()) {
@@ -65,13 +50,13 @@
     }
     StoredObject object{
         ObjectKind{kind.get<std::string>()}, ObjectName{name.get<std::string>()}, Revision{version.get<std::uint64_t>()}, {}, false};
-    object.deleted = parsedOrNull(json::rawValueOf(*fields, "deleted")) == Json(true);
+    object.deleted = json::parseUntrustedOrNull(json::rawValueOf(*fields, "deleted")) == Json(true);
     const auto value = json::rawValueOf(*fields, "value");
     if (!object.deleted) {
         if (value.empty()) {
             return std::nullopt;
         }
-        object.value = parsedOrNull(value).dump();
+        object.value = json::parseUntrustedOrNull(value).dump();
     }
     return object;
 }
@@ -88,7 +73,7 @@
 {
     const auto fields = json::rawFieldsOf(body);
     const auto elements = fields ? json::rawElementsOf(json::rawValueOf(*fields, key)) : std::nullopt;
-    const auto revision = fields ? parsedOrNull(json::rawValueOf(*fields, "revision")) : Json();
+    const auto revision = fields ? json::parseUntrustedOrNull(json::rawValueOf(*fields, "revision")) : Json();
     if (!elements || !revision.is_number_unsigned()) {
         return std::nullopt;
     }
@@ -147,17 +132,17 @@
     }
     std::vector<ListedInstance> instances;
     for (const auto element : *elements) {
-        const auto entry = parsedOrNull(element);
-        const auto name = entry.is_object() ? textIn(entry, "name") : std::nullopt;
+        const auto entry = json::parseUntrustedOrNull(element);
+        const auto name = entry.is_object() ? json::textIn(entry, "name") : std::nullopt;
         if (!name || name->empty()) {
             continue;
         }
         ListedInstance instance;
         instance.name = *name;
-        instance.domain = FailureDomain{textIn(entry, "domain").value_or("")};
-        instance.address = Address{textIn(entry, "address").value_or("")};
-        instance.state = textIn(entry, "state").value_or("live") == "leaving" ? ListedState::Leaving : ListedState::Live;
-        instance.role = textIn(entry, "role").value_or("proxy");
+        instance.domain = FailureDomain{json::textIn(entry, "domain").value_or("")};
+        instance.address = Address{json::textIn(entry, "address").value_or("")};
+        instance.state = json::textIn(entry, "state").value_or("live") == "leaving" ? ListedState::Leaving : ListedState::Live;
+        instance.role = json::textIn(entry, "role").value_or("proxy");
         instances.push_back(std::move(instance));
     }
     return instances;
